--- /dev/null
+++ b/internal/timeline/kind.go
@@ -0,0 +1,31 @@
+package timeline
+
+// Kind names what an event reports.
+type Kind string
+
+// Kinds of events.
+const (
+	KindStarted       Kind = "started"
+	KindStopped       Kind = "stopped"
+	KindEditAccepted  Kind = "edit-accepted"
+	KindInForce       Kind = "in-force"
+	KindZoneOut       Kind = "zone-out"
+	KindZoneIn        Kind = "zone-in"
+	KindWarmup        Kind = "warm-up"
+	KindLease         Kind = "lease"
+	KindQueryStart    Kind = "query-start"
+	KindQueryDone     Kind = "query-done"
+	KindLeafSend      Kind = "leaf-send"
+	KindLeafReply     Kind = "leaf-reply"
+	KindLeafFailed    Kind = "leaf-failed"
+	KindHedge         Kind = "hedge"
+	KindRetry         Kind = "retry"
+	KindRestart       Kind = "snapshot-restart"
+	KindRefusal       Kind = "refusal"
+	KindQuarantine    Kind = "quarantine"
+	KindSubmitStart   Kind = "submit-start"
+	KindSubmitDone    Kind = "submit-done"
+	KindSubmitForward Kind = "submit-forward"
+	KindLeaving       Kind = "upstream-leaving"
+	KindDrain         Kind = "drain"
+)
--- /dev/null
+++ b/internal/wire/kind.go
@@ -0,0 +1,24 @@
+package wire
+
+// Kind tells what an Envelope's body holds.
+type Kind uint8
+
+// Kinds of messages. Values are part of the protocol and are never reused.
+const (
+	KindHello        Kind = 1
+	KindPing         Kind = 2
+	KindPong         Kind = 3
+	KindLeafRequest  Kind = 4
+	KindLeafReply    Kind = 5
+	KindCancel       Kind = 6
+	KindSubmit       Kind = 7
+	KindSubmitAnswer Kind = 8
+	KindLeaseRequest Kind = 9
+	KindLeaseAck     Kind = 10
+	KindConfigOffer  Kind = 11
+	KindConfigFetch  Kind = 12
+	KindConfigPush   Kind = 13
+	KindFact         Kind = 14
+	KindError        Kind = 15
+	KindVMView       Kind = 16
+)
--- /dev/null
+++ b/internal/wire/loops.go
@@ -0,0 +1,108 @@
+package wire
+
+import (
+	"bufio"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// readLoop delivers incoming frames until the connection fails.
+func (p *Peer) readLoop(r *bufio.Reader) {
+	for {
+		if err := p.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			p.fail(err)
+			return
+		}
+		env, err := readFrame(r)
+		if err != nil {
+			p.fail(err)
+			return
+		}
+		p.clock.Observe(env.Clock)
+		p.deliver(env)
+	}
+}
+
+func (p *Peer) deliver(env *Envelope) {
+	switch {
+	case env.Kind == KindPing || env.Kind == KindPong || env.Kind == KindHello:
+	case env.Reply:
+		p.deliverReply(env)
+	case p.handler != nil:
+		p.handler(p, env)
+	}
+}
+
+// deliverReply hands a reply to its call. A reply that matches no open call is
+// dropped and counted.
+func (p *Peer) deliverReply(env *Envelope) {
+	p.mu.Lock()
+	call, ok := p.pending[env.ID]
+	p.mu.Unlock()
+	if !ok || !env.matches(call.out.env) {
+		p.stats.strayReplies.Inc(1)
+		return
+	}
+	select {
+	case call.reply <- env:
+	default:
+		p.stats.strayReplies.Inc(1)
+	}
+}
+
+// writeLoop writes queued frames, and a ping when there are none. Frames are
+// flushed when the queue is empty, so that frames queued together share a
+// system call.
+func (p *Peer) writeLoop() {
+	w := bufio.NewWriterSize(p.conn, bufferBytes)
+	ping := time.NewTicker(pingInterval)
+	defer ping.Stop()
+	for {
+		var err error
+		select {
+		case out := <-p.sendQ:
+			err = p.writeBatch(w, out)
+		case <-ping.C:
+			err = p.writeBatch(w, &outgoing{env: &Envelope{Kind: KindPing}})
+		case <-p.closed:
+			return
+		}
+		if err != nil {
+			p.fail(errors.Wrap(err, "write"))
+			return
+		}
+	}
+}
+
+func (p *Peer) writeBatch(w *bufio.Writer, first *outgoing) error {
+	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if err := p.writeOne(w, first); err != nil {
+		return err
+	}
+	for {
+		select {
+		case out := <-p.sendQ:
+			if err := p.writeOne(w, out); err != nil {
+				return err
+			}
+		default:
+			return w.Flush()
+		}
+	}
+}
+
+func (p *Peer) writeOne(w *bufio.Writer, out *outgoing) error {
+	if !out.claim() {
+		return nil
+	}
+	out.env.Clock = p.clock.Now()
+	frame, err := encodeFrame(out.env)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
+	return err
+}
