--- /dev/null
+++ b/internal/standin/leaf_run.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+)
+
+// startRun takes a slot for a request, waits for one, or refuses.
+func (l *Leaf) startRun(ctx context.Context, startBy int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leaving {
+		return refusal(errs.ReasonLeaving, l.cfg.ID)
+	}
+	if l.waiting >= queuePerSlot*l.cfg.Slots {
+		l.stats.Shed++
+		return refusal(errs.ReasonShed, l.cfg.ID)
+	}
+	for l.running >= l.cfg.Slots {
+		if err := l.waitForSlot(ctx); err != nil {
+			return err
+		}
+	}
+	if startBy != 0 && time.Now().UnixMilli() > startBy {
+		l.stats.LateStarts++
+		return refusal(errs.ReasonStartBy, l.cfg.ID)
+	}
+	l.running++
+	if !l.warm() && l.running > 1 {
+		l.stats.ColdOverloads++
+	}
+	l.stats.LastWorkUnixMS = time.Now().UnixMilli()
+	return nil
+}
+
+// waitForSlot is called with the lock held and returns with it held.
+func (l *Leaf) waitForSlot(ctx context.Context) error {
+	free := l.slotFree
+	l.waiting++
+	l.mu.Unlock()
+	var err error
+	select {
+	case <-free:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	l.mu.Lock()
+	l.waiting--
+	return err
+}
+
+func (l *Leaf) endRun() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running--
+	l.served++
+	close(l.slotFree)
+	l.slotFree = make(chan struct{})
+}
+
+func (l *Leaf) warm() bool { return l.served >= l.cfg.WarmAfter }
+
+// runTime is the latency with a tail: 1 request in 50 takes 4 times as long.
+func (l *Leaf) runTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := time.Duration(float64(l.cfg.Latency) * (0.8 + 0.4*rand.Float64()))
+	if rand.IntN(50) == 0 {
+		d *= 4
+	}
+	if !l.warm() {
+		d *= coldSlowdown
+	}
+	return d + l.slowBy
+}
+
+func (l *Leaf) serves(s *medlarv1.Snapshot) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return s.GetPartitionGeneration() == l.cfg.PartitionGeneration &&
+		slices.Contains(l.cfg.IndexVersions, s.GetIndexVersion())
+}
+
+func (l *Leaf) countRun(requestID string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[requestID]++
+	l.stats.Executions++
+	if l.runs[requestID] > 1 {
+		l.stats.Doubled++
+	}
+	return l.runs[requestID]
+}
+
+func (l *Leaf) count(f func(*LeafStats)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.stats)
+}
+
+func (l *Leaf) bootID() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.boot
+}
--- /dev/null
+++ b/internal/standin/leaf_stats.go
@@ -0,0 +1,24 @@
+package standin
+
+// LeafStats is what a leaf counted since it was created, over all its boots.
+type LeafStats struct {
+	ID string
+	// Searches and Executions count requests that started to run.
+	Searches   uint64
+	Executions uint64
+	// Doubled counts non-idempotent requests that ran more than once here.
+	Doubled uint64
+	Shed    uint64
+	// LateStarts counts refusals because of the start-by time.
+	LateStarts uint64
+	Crashes    uint64
+	// ColdOverloads counts requests beyond the one that a cold leaf bears.
+	ColdOverloads uint64
+	Cancelled     uint64
+	BootID        uint64
+	Warm          bool
+	// LastWorkUnixMS is when the latest request started to run.
+	LastWorkUnixMS int64
+	MaxConnections int
+	Refused        uint64
+}
