--- /dev/null
+++ b/internal/lifecycle/doc.go
@@ -0,0 +1,2 @@
+// Package lifecycle carries a process from start to a graceful stop.
+package lifecycle
--- /dev/null
+++ b/internal/message/leaf_facts.go
@@ -0,0 +1,28 @@
+package message
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// LeafFacts is what a relay tells entries about a leaf that it owns. It is
+// sent on change, and for all leaves when an entry connects.
+type LeafFacts struct {
+	Leaf                topology.LeafID `msgpack:"l"`
+	State               string          `msgpack:"s"`
+	Reason              string          `msgpack:"r,omitempty"`
+	Usable              bool            `msgpack:"u"`
+	Warm                bool            `msgpack:"w"`
+	IndexVersions       []uint64        `msgpack:"v,omitempty"`
+	PartitionGeneration uint64          `msgpack:"p"`
+	// Boot is the leaf's boot ID, by its last report or reply.
+	Boot uint64 `msgpack:"b"`
+	// Baseline is the warm latency; 0 unless warm. The rank-2 relay takes it
+	// over, so that a failover does not treat a warm leaf as cold.
+	Baseline time.Duration `msgpack:"e"`
+	// Queued is the number of requests in the relay's queue for the leaf.
+	Queued int `msgpack:"q"`
+	// Age is how old the facts are at sending.
+	Age time.Duration `msgpack:"a"`
+}
--- /dev/null
+++ b/internal/message/leaf_reply.go
@@ -0,0 +1,20 @@
+package message
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// LeafReply answers a LeafRequest.
+type LeafReply struct {
+	Leaf topology.LeafID `msgpack:"l"`
+	// Shard and Snapshot are what the leaf says it served.
+	Shard    topology.ShardID  `msgpack:"h"`
+	Snapshot topology.Snapshot `msgpack:"n"`
+	Hits     []Hit             `msgpack:"i,omitempty"`
+	Result   []byte            `msgpack:"r,omitempty"`
+	Failure  *Failure          `msgpack:"f,omitempty"`
+	// RunTime is how long the leaf took, without the relay's queue.
+	RunTime time.Duration `msgpack:"t"`
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Run times of a warm leaf.
+const (
+	searchLatency = 12 * time.Millisecond
+	lookupLatency = 4 * time.Millisecond
+)
+
+// NewFleet returns the installation of a user, "valdivia" or "kelani", at the
+// sizes that the design page gives.
+func NewFleet(user, net string, vmsPerZone int) (*Fleet, error) {
+	switch user {
+	case "valdivia":
+		return newValdivia(net, vmsPerZone), nil
+	case "kelani":
+		return newKelani(net, vmsPerZone), nil
+	}
+	return nil, errors.Errorf("unknown user %q, want valdivia or kelani", user)
+}
+
+func newValdivia(net string, vmsPerZone int) *Fleet {
+	f := &Fleet{Net: net, Region: "south", Zones: []string{"valdivia", "osorno", "puerto-montt"}}
+	f.addVMs(vmsPerZone)
+	f.addOwners(map[string]string{
+		"owners": "operations", "zones": "operations", "classes": "operations",
+		"index.enrolment": "courses", "index.inventory": "workshop",
+		"index.roster": "courses", "index.billing": "office",
+	}, []string{"owners", "zones", "classes", "index.enrolment", "index.inventory", "index.roster", "index.billing"})
+	f.addZones()
+	f.addIndex(IndexSize{Name: "enrolment", Team: "courses", Shards: 20, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
+	f.addIndex(IndexSize{Name: "inventory", Team: "workshop", Shards: 30, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
+	f.addIndex(IndexSize{Name: "roster", Team: "courses", Shards: 1, LeavesPerShard: 10, Slots: 2, Connections: 110, Latency: lookupLatency})
+	f.addIndex(IndexSize{Name: "billing", Team: "office", Shards: 1, LeavesPerShard: 5, Slots: 2, Connections: 110, Latency: lookupLatency})
+	f.Sections = append(f.Sections, Section{Name: "classes", Team: "operations", Text: valdiviaClasses})
+	return f
+}
+
+func newKelani(net string, vmsPerZone int) *Fleet {
+	f := &Fleet{Net: net, Region: "western", Zones: []string{"colombo", "negombo", "kalutara", "gampaha"}}
+	f.addVMs(vmsPerZone)
+	f.addOwners(map[string]string{
+		"owners": "operations", "zones": "operations", "classes": "operations",
+		"index.search": "drivers", "index.ledger": "stock",
+		"index.portal": "shops", "index.reports": "desk",
+	}, []string{"owners", "zones", "classes", "index.search", "index.ledger", "index.portal", "index.reports"})
+	f.addZones()
+	f.addIndex(IndexSize{Name: "search", Team: "drivers", Shards: 20, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
+	f.addIndex(IndexSize{Name: "ledger", Team: "stock", Shards: 30, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
+	f.addIndex(IndexSize{Name: "portal", Team: "shops", Shards: 1, LeavesPerShard: 10, Slots: 2, Connections: 35, Latency: lookupLatency})
+	f.addIndex(IndexSize{Name: "reports", Team: "desk", Shards: 1, LeavesPerShard: 5, Slots: 2, Connections: 35, Latency: lookupLatency})
+	f.Sections = append(f.Sections, Section{Name: "classes", Team: "operations", Text: kelaniClasses})
+	return f
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -21,4 +21,6 @@
 	KindFact         Kind = 14
 	KindError        Kind = 15
 	KindVMView       Kind = 16
+	KindLeafFacts    Kind = 17
+	KindBeginSubmit  Kind = 18
 )
--- /dev/null
+++ b/internal/wire/links.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// redialMin and redialMax bound the pause between attempts to reach a
+	// peer that does not answer.
+	redialMin = 100 * time.Millisecond
+	redialMax = 2 * time.Second
+)
+
+// Links keeps one connection to each of a set of addresses and redials those
+// that fail, so that no request waits for a dial. It is safe for concurrent
+// use.
+type Links struct {
+	self Hello
+	opts Options
+	// OnPeer, if set, is called for each new connection. It must not block.
+	OnPeer func(*Peer)
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+type link struct {
+	cancel context.CancelFunc
+	peer   *Peer
+}
+
+// NewLinks returns a set without addresses.
+func NewLinks(self Hello, opts Options) *Links {
+	return &Links{self: self, opts: opts, links: make(map[string]*link)}
+}
+
+// Set replaces the addresses. Connections to addresses that stay are kept.
+func (l *Links) Set(ctx context.Context, addrs []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	keep := make(map[string]bool, len(addrs))
+	for _, addr := range addrs {
+		keep[addr] = true
+		if _, ok := l.links[addr]; !ok {
+			l.start(ctx, addr)
+		}
+	}
+	for addr, entry := range l.links {
+		if !keep[addr] {
+			entry.cancel()
+			delete(l.links, addr)
+		}
+	}
+}
+
+// Get returns the open connection to an address, or nil.
+func (l *Links) Get(addr string) *Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, ok := l.links[addr]
+	if !ok {
+		return nil
+	}
+	return entry.peer
+}
+
+// Peers returns all open connections.
+func (l *Links) Peers() []*Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*Peer, 0, len(l.links))
+	for _, entry := range l.links {
+		if entry.peer != nil {
+			out = append(out, entry.peer)
+		}
+	}
+	return out
+}
+
+func (l *Links) start(ctx context.Context, addr string) {
+	ctx, cancel := context.WithCancel(ctx)
+	entry := &link{cancel: cancel}
+	l.links[addr] = entry
+	go l.keep(ctx, addr, entry)
+}
+
+// keep dials an address until the context is done.
+func (l *Links) keep(ctx context.Context, addr string, entry *link) {
+	pause := redialMin
+	for ctx.Err() == nil {
+		peer, err := l.dial(ctx, addr)
+		if err != nil {
+			klog.V(2).InfoS("Dial failed", "peer", addr, "err", err)
+			sleep(ctx, pause+time.Duration(rand.Int64N(int64(pause))))
+			pause = min(2*pause, redialMax)
+			continue
+		}
+		pause = redialMin
+		l.hold(ctx, entry, peer)
+	}
+}
+
+func (l *Links) dial(ctx context.Context, addr string) (*Peer, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return NewPeer(ctx, conn, l.self, l.opts)
+}
+
+// hold publishes a connection until it ends.
+func (l *Links) hold(ctx context.Context, entry *link, peer *Peer) {
+	l.publish(entry, peer)
+	if l.OnPeer != nil {
+		l.OnPeer(peer)
+	}
+	select {
+	case <-peer.Done():
+	case <-ctx.Done():
+		peer.Close()
+	}
+	l.publish(entry, nil)
+}
+
+func (l *Links) publish(entry *link, peer *Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry.peer = peer
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
