--- /dev/null
+++ b/internal/query/kind.go
@@ -0,0 +1,36 @@
+package query
+
+// Kind tells why a request is sent to a leaf.
+type Kind uint8
+
+// Kinds of sends.
+const (
+	// KindFirst is the first request for a shard.
+	KindFirst Kind = iota
+	// KindCanary is the first request of a query that has yet to fan out.
+	KindCanary
+	// KindHedge is a second request while another one is still running.
+	KindHedge
+	// KindRetry follows an attempt that may have run.
+	KindRetry
+	// KindMove follows an attempt that is known not to have run, and so adds
+	// no load to upstreams beyond the first request.
+	KindMove
+)
+
+// String returns the kind's name in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case KindFirst:
+		return "first"
+	case KindCanary:
+		return "canary"
+	case KindHedge:
+		return "hedge"
+	case KindRetry:
+		return "retry"
+	case KindMove:
+		return "move"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/query/params.go
@@ -0,0 +1,43 @@
+package query
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// Params are the limits of one query, from its class. Durations count from
+// Start.
+type Params struct {
+	Prefer topology.Preference
+	// LatencyTarget is when a query that prefers latency answers with what
+	// has arrived. Zero means the deadline.
+	LatencyTarget time.Duration
+	// Deadline is when the query answers in any case.
+	Deadline time.Duration
+	// Canary sends one shard first and the others after its reply.
+	Canary bool
+	// MaxAttempts bounds the sends per shard and snapshot, including the
+	// first one; less than 1 means 1.
+	MaxAttempts int
+	// MaxRestarts bounds how often the query asks for a newer snapshot.
+	MaxRestarts int
+}
+
+// target is the time from the start at which a partial answer is given.
+func (p Params) target() time.Duration {
+	if p.Prefer != topology.PreferLatency || p.LatencyTarget <= 0 {
+		return p.Deadline
+	}
+	return min(p.LatencyTarget, p.Deadline)
+}
+
+// restartTime is the time that must remain until the target for a restart on
+// a newer snapshot. A query that prefers coverage may use more of its time on
+// restarts, since its deadline is far longer than a fan-out takes.
+func (p Params) restartTime() time.Duration {
+	if p.Prefer == topology.PreferLatency {
+		return p.target() / 2
+	}
+	return p.Deadline / 4
+}
--- /dev/null
+++ b/internal/query/replanned.go
@@ -0,0 +1,10 @@
+package query
+
+// Replanned answers a Replan action.
+type Replanned struct {
+	Plan Plan
+	// OK is false when there is no newer snapshot.
+	OK bool
+}
+
+func (Replanned) isEvent() {}
--- /dev/null
+++ b/internal/query/shard_plan.go
@@ -0,0 +1,20 @@
+package query
+
+import (
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// maxCandidates is the number of candidates per shard that a query considers,
+// the width of the set of tried ones. Candidates after it are ignored.
+const maxCandidates = 64
+
+// ShardPlan is one shard of a plan with the leaves that may answer for it.
+type ShardPlan struct {
+	Shard  topology.ShardID
+	Weight uint64
+	// Candidates are in order of preference.
+	Candidates []Candidate
+	// Unavailable is the reason when there are no candidates.
+	Unavailable errs.Reason
+}
