Add the queue of one leaf

Cause: the owner relay needs one place that orders the requests of a leaf by class and start-by, and that never exceeds the leaf's limit.

Ruled out: one heap per priority, since refusing the worst item and expiring the earliest then each need a scan over all priorities. A repeated ID is ignored, since a second answer could not be told from the first. A queue is trimmed after dispatch, so that an item which can start at once is not refused for lack of space.

--- /dev/null
+++ b/internal/leafqueue/cancel.go
@@ -0,0 +1,9 @@
+package leafqueue
+
+// Cancel withdraws a request. A queued one is refused; a running one is
+// aborted and keeps its slot until Done.
+type Cancel struct {
+	ID uint64
+}
+
+func (Cancel) event() {}
--- /dev/null
+++ b/internal/leafqueue/close.go
@@ -0,0 +1,10 @@
+package leafqueue
+
+import "github.com/medlarswitch/medlarswitch/internal/errs"
+
+// Close refuses all queued and all later requests. Running ones go on.
+type Close struct {
+	Reason errs.Reason
+}
+
+func (Close) event() {}
--- /dev/null
+++ b/internal/leafqueue/dispatch.go
@@ -0,0 +1,8 @@
+package leafqueue
+
+// Dispatch tells the shell to send a request to the leaf.
+type Dispatch struct {
+	ID uint64
+}
+
+func (Dispatch) action() {}
--- /dev/null
+++ b/internal/leafqueue/open.go
@@ -0,0 +1,6 @@
+package leafqueue
+
+// Open ends the effect of Close.
+type Open struct{}
+
+func (Open) event() {}
--- /dev/null
+++ b/internal/leafqueue/queue_test.go
@@ -0,0 +1,161 @@
+package leafqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+)
+
+type step struct {
+	at   time.Duration
+	ev   Event
+	want []Action
+}
+
+func limit(n int) SetLimit { return SetLimit{InFlight: n} }
+
+func add(id uint64, priority int, startBy time.Duration) Add {
+	return Add{ID: id, Priority: priority, StartBy: startBy}
+}
+
+func refuse(id uint64, r errs.Reason) Refuse { return Refuse{ID: id, Reason: r} }
+
+// Each row guards against the fault in its name.
+func TestQueue(t *testing.T) {
+	rows := []struct {
+		fault string
+		steps []step
+	}{
+		{"new queue dispatches before it has a limit", []step{
+			{0, add(1, 0, 9), nil}, {1, limit(1), []Action{Dispatch{1}}}}},
+		{"low priority overtakes high priority", []step{
+			{0, add(1, 5, 9), nil}, {0, add(2, 1, 20), nil}, {0, limit(1), []Action{Dispatch{2}}}}},
+		{"later start-by goes first", []step{
+			{0, add(1, 1, 20), nil}, {0, add(2, 1, 10), nil}, {0, limit(1), []Action{Dispatch{2}}}}},
+		{"expired item is dispatched", []step{
+			{0, add(1, 0, 5), nil}, {5, limit(1), []Action{refuse(1, errs.ReasonStartBy)}}}},
+		{"item that arrives expired is dispatched", []step{
+			{0, limit(1), nil}, {6, add(1, 0, 5), []Action{refuse(1, errs.ReasonStartBy)}}}},
+		{"full queue keeps a worse item than the new one", []step{
+			{0, add(1, 5, 9), nil}, {0, add(2, 4, 9), nil},
+			{0, add(3, 1, 9), []Action{refuse(1, errs.ReasonOverloaded)}},
+			{0, add(4, 6, 9), []Action{refuse(4, errs.ReasonOverloaded)}}}},
+		{"limit exceeded or slot lost", []step{
+			{0, limit(1), nil}, {0, add(1, 0, 9), []Action{Dispatch{1}}}, {0, add(2, 0, 9), nil},
+			{1, Done{ID: 7}, nil}, {1, Done{ID: 1}, []Action{Dispatch{2}}}}},
+		{"lowered limit is exceeded", []step{
+			{0, limit(2), nil}, {0, add(1, 0, 9), []Action{Dispatch{1}}}, {0, add(2, 0, 9), []Action{Dispatch{2}}},
+			{0, limit(1), nil}, {0, add(3, 0, 9), nil}, {1, Done{ID: 1}, nil}, {1, Done{ID: 2}, []Action{Dispatch{3}}}}},
+		{"dispatch in the idle pause", []step{
+			{0, SetLimit{InFlight: 1, NotBefore: 4}, nil}, {0, add(1, 0, 9), nil}, {3, Tick{}, nil},
+			{4, Tick{}, []Action{Dispatch{1}}}}},
+		{"cancelled queued item runs", []step{
+			{0, add(1, 0, 9), nil}, {0, Cancel{ID: 1}, []Action{refuse(1, errs.ReasonCancelled)}}, {0, limit(1), nil}}},
+		{"abort frees the slot while the leaf still runs it, or is sent twice", []step{
+			{0, limit(1), nil}, {0, add(1, 0, 9), []Action{Dispatch{1}}}, {0, add(2, 0, 9), nil},
+			{1, Cancel{ID: 1}, []Action{Abort{1}}}, {1, Cancel{ID: 1}, nil}, {2, Done{ID: 1}, []Action{Dispatch{2}}}}},
+		{"closed queue accepts or keeps work, or refuses what runs", []step{
+			{0, limit(1), nil}, {0, add(1, 0, 9), []Action{Dispatch{1}}}, {0, add(2, 0, 9), nil},
+			{1, Close{Reason: errs.ReasonZoneOut}, []Action{refuse(2, errs.ReasonZoneOut)}},
+			{1, add(3, 0, 9), []Action{refuse(3, errs.ReasonZoneOut)}}, {2, Open{}, nil},
+			{2, add(4, 0, 9), nil}, {3, Done{ID: 1}, []Action{Dispatch{4}}}}},
+		{"repeated ID is answered twice", []step{
+			{0, add(1, 0, 9), nil}, {0, add(1, 0, 9), nil}, {0, limit(2), []Action{Dispatch{1}}}, {0, add(1, 0, 9), nil}}},
+	}
+	for _, row := range rows {
+		t.Run(row.fault, func(t *testing.T) {
+			q := New(Config{MaxQueued: 2})
+			for i, s := range row.steps {
+				assert.DeepEqual(t, q.Step(s.at, s.ev), s.want)
+				wake, ok := q.NextWake(s.at)
+				assert.Assert(t, !ok || wake > s.at, "step %d wakes at %d, now is %d", i, wake, s.at)
+			}
+		})
+	}
+}
+
+// Guards against a wake that is late for the pause or for an expiry.
+func TestNextWake(t *testing.T) {
+	q := New(Config{MaxQueued: 2})
+	q.Step(0, SetLimit{InFlight: 1, NotBefore: 4})
+	q.Step(0, add(1, 0, 9))
+	wake, ok := q.NextWake(0)
+	assert.Assert(t, ok && wake == 4)
+	q.Step(1, limit(0))
+	wake, ok = q.NextWake(1)
+	assert.Assert(t, ok && wake == 9)
+}
+
+// Guards against requests that get no answer or two, and against a limit that
+// is exceeded, over random events.
+func TestEveryAddIsAnsweredOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{MaxQueued: rapid.IntRange(0, 4).Draw(t, "max")})
+		state := map[uint64]string{}
+		var now time.Duration
+		var next uint64
+		allowed, running := 0, 0
+		apply := func(ev Event) {
+			for _, a := range q.Step(now, ev) {
+				switch a := a.(type) {
+				case Dispatch:
+					assert.Equal(t, state[a.ID], "queued")
+					state[a.ID], running = "running", running+1
+					assert.Assert(t, running <= allowed)
+				case Refuse:
+					assert.Equal(t, state[a.ID], "queued")
+					state[a.ID] = "refused"
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "dt"))
+			id := uint64(rapid.IntRange(1, int(next)+1).Draw(t, "id"))
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				next++
+				state[next] = "queued"
+				apply(add(next, rapid.IntRange(0, 2).Draw(t, "priority"), now+time.Duration(rapid.IntRange(0, 9).Draw(t, "ttl"))))
+			case 2:
+				if state[id] == "running" {
+					state[id], running = "done", running-1
+				}
+				apply(Done{ID: id})
+			case 3:
+				apply(Cancel{ID: id})
+			case 4:
+				allowed = rapid.IntRange(0, 3).Draw(t, "limit")
+				apply(limit(allowed))
+			case 5:
+				apply(Tick{})
+			}
+		}
+		apply(Close{Reason: errs.ReasonDraining})
+		for id, s := range state {
+			assert.Assert(t, s != "queued", fmt.Sprint("no answer to ", id))
+		}
+	})
+}
+
+func BenchmarkAddDispatchDone(b *testing.B) {
+	q := New(Config{MaxQueued: 64})
+	q.Step(0, limit(2))
+	for i := range uint64(34) {
+		q.Step(0, add(i, int(i%4), time.Hour+time.Duration(i)))
+	}
+	running := []uint64{0, 1}
+	b.ReportAllocs()
+	id := uint64(100)
+	for b.Loop() {
+		id++
+		q.Step(0, add(id, int(id%4), time.Hour+time.Duration(id)))
+		for _, a := range q.Step(0, Done{ID: running[0]}) {
+			running = append(running[1:], a.(Dispatch).ID)
+		}
+	}
+}
