Add the warm-up state of a leaf

Cause: a back end fails under full load right after a cold start, so the relay has to ramp its load up from what it measures itself.

Ruled out: using a reply of a request that was sent before a fall, since it says nothing of the leaf after it; reports with an earlier boot ID, since a delayed one would make a warm leaf cold each time; a load report without expiry, since a stuck value would hold the leaf back forever.

--- /dev/null
+++ b/internal/warmup/latencies.go
@@ -0,0 +1,52 @@
+package warmup
+
+import "time"
+
+const (
+	// recentWeight makes the average follow about the last 8 replies, the
+	// number that a rise needs.
+	recentWeight = 1.0 / 8
+	// baselineWeight lets the warm baseline follow a slow change of the load,
+	// but not the few slow replies that show a fall.
+	baselineWeight = 1.0 / 64
+	// slowFactor times the baseline is the bound for a reply's latency.
+	slowFactor = 4
+)
+
+// latencies holds the measurements since the leaf was last cold.
+type latencies struct {
+	recent   average
+	lowest   time.Duration
+	baseline average
+}
+
+func newLatencies() latencies {
+	return latencies{recent: average{weight: recentWeight}, baseline: average{weight: baselineWeight}}
+}
+
+// slow reports whether a latency is above the bound. The first reply has no
+// bound.
+func (l *latencies) slow(d time.Duration) bool {
+	switch {
+	case l.baseline.set:
+		return d > slowFactor*l.baseline.value
+	case l.recent.set:
+		return d > slowFactor*l.lowest
+	}
+	return false
+}
+
+// add takes in a latency. Slow replies do not move the warm baseline.
+func (l *latencies) add(d time.Duration, slow bool) {
+	first := !l.recent.set
+	l.recent.add(d)
+	if first || l.recent.value < l.lowest {
+		l.lowest = l.recent.value
+	}
+	if l.baseline.set && !slow {
+		l.baseline.add(d)
+	}
+}
+
+// warm fixes the baseline that later replies are compared with.
+func (l *latencies) warm() { l.baseline.add(l.recent.value) }
--- /dev/null
+++ b/internal/warmup/transition.go
@@ -0,0 +1,8 @@
+package warmup
+
+// Transition is a change of state, for the event log.
+type Transition struct {
+	From   State
+	To     State
+	Reason string
+}
