Add the parser and checker of the service document

Cause: the service document had no reader. Several teams edit its sections, so an operator needs every fault at once with its section, line and key, and a section must not decide its own kind.

The text is read with go-toml's parser into tables that know their lines (internal/tomldoc); typed reads report wrong types, missing and unknown keys. Ruled out: decoding into structs with go-toml's Decoder, which stops at the first wrong type and gives no lines for semantic problems; taking the kind from the text alone, which would let the owner of one index write an owner list.

--- /dev/null
+++ b/internal/servicedoc/classes.go
@@ -0,0 +1,65 @@
+package servicedoc
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/tomldoc"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+const (
+	maxPriority = 255
+	maxDeadline = time.Hour
+)
+
+func (c *checker) classes(p *parsed) {
+	for _, t := range p.root.Tables("class") {
+		c.class(p, t)
+		t.Finish()
+	}
+}
+
+func (c *checker) class(p *parsed, t *tomldoc.Table) {
+	id, idOK := name(t, "name")
+	class := readClass(t)
+	class.ID = topology.ClassID(id)
+	c.knownIndex(class.Index, t)
+	if idOK && unique(c.classPlace, class.ID, p, t, "name") {
+		c.topo.Classes[class.ID] = class
+	}
+}
+
+func readClass(t *tomldoc.Table) *topology.Class {
+	index, _ := t.String("index")
+	scope, _ := t.Choice("scope", string(topology.ScopeAll), string(topology.ScopeOne))
+	priority, _ := t.Int("priority", 0, maxPriority)
+	prefer, _ := t.Choice("prefer", string(topology.PreferLatency), string(topology.PreferCoverage))
+	target, targetOK := t.Duration("latency_target", time.Millisecond, maxDeadline)
+	deadline, deadlineOK := t.Duration("deadline", time.Millisecond, maxDeadline)
+	if targetOK && deadlineOK && target > deadline {
+		t.Report("latency_target", "is %v: expected at most the deadline, %v", target, deadline)
+	}
+	class := &topology.Class{
+		Index: topology.IndexID(index), Scope: topology.Scope(scope), Priority: int(priority),
+		Prefer: topology.Preference(prefer), LatencyTarget: target, Deadline: deadline,
+		Canary: topology.CanarySuspect,
+	}
+	if t.Has("canary") {
+		mode, _ := t.Choice("canary", string(topology.CanaryAlways), string(topology.CanarySuspect), string(topology.CanaryNever))
+		class.Canary = topology.CanaryMode(mode)
+	}
+	if t.Has("submits") {
+		class.Submits, _ = t.Bool("submits")
+	}
+	return class
+}
+
+// knownIndex reports an index that the document doesn't define.
+func (c *checker) knownIndex(id topology.IndexID, t *tomldoc.Table) {
+	if id == "" || c.unreadable[KindIndex] {
+		return
+	}
+	if _, ok := c.topo.Indexes[id]; !ok {
+		t.Report("index", "%q is unknown: expected an index of the document", id)
+	}
+}
--- /dev/null
+++ b/internal/servicedoc/limits.go
@@ -0,0 +1,54 @@
+package servicedoc
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+const (
+	// maxConnectionHolders is the number of relays that may hold connections
+	// to one leaf: rank 1 and rank 2 in the current and the previous VM list.
+	maxConnectionHolders = 4
+	// minConnectionShare is one connection in use and one reserve.
+	minConnectionShare = 2
+
+	minConnections = minConnectionShare*maxConnectionHolders + 1
+	maxConnections = 1 << 20
+	maxRunLimit    = time.Hour
+)
+
+// limits hold for each leaf of an index.
+type limits struct {
+	slots, connections int
+	runLimit           time.Duration
+}
+
+// ConnectionShare returns how many connections to a leaf each holder may have.
+// One connection of the leaf stays free.
+func ConnectionShare(connections int) int { return (connections - 1) / maxConnectionHolders }
+
+func readLimits(p *parsed) (limits, bool) {
+	t, ok := p.root.Table("limits")
+	if !ok {
+		return limits{}, false
+	}
+	slots, slotsOK := t.Int("slots", 1, maxConnections)
+	connections, connOK := t.Int("connections", minConnections, maxConnections)
+	run, runOK := t.Duration("run_limit", time.Millisecond, maxRunLimit)
+	t.Finish()
+	l := limits{slots: int(slots), connections: int(connections), runLimit: run}
+	if slotsOK && connOK {
+		usable := ConnectionShare(l.connections) - 1
+		if l.slots > usable {
+			t.Report("slots", "is %d: expected at most %d, the connections of one holder out of %d less its reserve",
+				l.slots, usable, l.connections)
+			slotsOK = false
+		}
+	}
+	return l, slotsOK && connOK && runOK
+}
+
+func (l limits) apply(i *topology.Index) {
+	i.Slots, i.Connections, i.RunLimit = l.slots, l.connections, l.runLimit
+}
--- /dev/null
+++ b/internal/tomldoc/expected.go
@@ -0,0 +1,28 @@
+package tomldoc
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// The types below say what a key expects. They build their text only for a
+// problem: a large document has hundreds of thousands of keys.
+
+type text string
+
+func (t text) String() string { return string(t) }
+
+type oneOf []string
+
+func (o oneOf) String() string { return `one of "` + strings.Join(o, `", "`) + `"` }
+
+type intRange struct{ low, high int64 }
+
+func (r intRange) String() string { return fmt.Sprintf("an integer from %d to %d", r.low, r.high) }
+
+type durationRange struct{ low, high time.Duration }
+
+func (r durationRange) String() string {
+	return fmt.Sprintf(`a duration with a unit, such as "250ms" or "2s", from %v to %v`, r.low, r.high)
+}
--- /dev/null
+++ b/internal/tomldoc/nested.go
@@ -0,0 +1,50 @@
+package tomldoc
+
+import "github.com/pelletier/go-toml/v2/unstable"
+
+// Table returns a required table.
+func (t *Table) Table(key string) (*Table, bool) {
+	if _, ok := t.scalar(key, unstable.InlineTable, text("a table")); !ok {
+		return nil, false
+	}
+	return t.find(key).value.table, true
+}
+
+// Tables returns the elements of a required array of tables.
+func (t *Table) Tables(key string) []*Table {
+	const expected = text("an array of at least one table")
+	if _, ok := t.scalar(key, unstable.Array, expected); !ok {
+		return nil
+	}
+	items := t.find(key).value.items
+	if len(items) == 0 {
+		t.Report(key, "is empty: expected %s", expected)
+	}
+	tables := make([]*Table, 0, len(items))
+	for _, item := range items {
+		if item.table == nil {
+			t.Report(key, "holds %s: expected %s", item.kindName(), expected)
+			continue
+		}
+		tables = append(tables, item.table)
+	}
+	return tables
+}
+
+// Strings returns the elements of a required array of strings, which may be
+// empty.
+func (t *Table) Strings(key string) []string {
+	const expected = text("an array of strings")
+	if _, ok := t.scalar(key, unstable.Array, expected); !ok {
+		return nil
+	}
+	var out []string
+	for _, item := range t.find(key).value.items {
+		if item.kind != unstable.String {
+			t.Report(key, "holds %s: expected %s", item.kindName(), expected)
+			continue
+		}
+		out = append(out, item.text)
+	}
+	return out
+}
