Add the settings of the processes

Cause: processes learn their addresses, availability zone and limits only from their settings, so a misspelt key must stop the start.

Uses the same reader as the service document, which reports all faults of a file at once with line, key and what is expected. Ruled out: go-toml's Decoder with struct tags, which stops at the first wrong type and can't tell a missing key from a zero value. All keys are required; port 0, unspecified addresses and two listeners on one address are refused, since peers dial what the settings say.

--- /dev/null
+++ b/internal/settings/common.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/tomldoc"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+const (
+	maxDrainDelay   = 10 * time.Minute
+	maxLogVerbosity = 10
+)
+
+// Common are the settings that every process has.
+type Common struct {
+	VM   topology.VMID
+	Zone topology.Zone
+	// Admin is the address of the HTTP listener for metrics, health and
+	// operators.
+	Admin string
+	// Agent is the address of the VM's agent; for the agent its own listener.
+	Agent string
+	// DrainDelay is how long a leaving process still accepts what the load
+	// balancer sends.
+	DrainDelay   time.Duration
+	LogVerbosity int
+}
+
+func (c *Common) read(t *tomldoc.Table) {
+	vm, _ := t.String("vm")
+	zone, _ := t.String("zone")
+	verbosity, _ := t.Int("log_verbosity", 0, maxLogVerbosity)
+	c.VM, c.Zone, c.LogVerbosity = topology.VMID(vm), topology.Zone(zone), int(verbosity)
+	c.Admin = address(t, "admin")
+	c.Agent = address(t, "agent")
+	c.DrainDelay, _ = t.Duration("drain_delay", 0, maxDrainDelay)
+}
+
+// address reads an address in its canonical form.
+func address(t *tomldoc.Table, key string) string {
+	addr, ok := t.Address(key)
+	if !ok {
+		return ""
+	}
+	return addr.String()
+}
+
+// differ reports listeners of one process that share an address.
+func differ(t *tomldoc.Table, addresses map[string]string, keys ...string) {
+	first := map[string]string{}
+	for _, key := range keys {
+		addr := addresses[key]
+		if addr == "" {
+			continue
+		}
+		if other, ok := first[addr]; ok {
+			t.Report(key, "is %s as %q: expected an address of its own", addr, other)
+			continue
+		}
+		first[addr] = key
+	}
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,32 @@
+package settings
+
+import "github.com/medlarswitch/medlarswitch/internal/tomldoc"
+
+const (
+	maxQueries = 1_000_000
+	maxTickets = 10_000_000
+)
+
+// Entry are the settings of medlar-entry.
+type Entry struct {
+	Common
+	// Callers is the address of the HTTP listener for callers.
+	Callers string
+	// Frames is the address of the frame listener for other entries.
+	Frames string
+	// MaxQueries bounds the queries that run at a time.
+	MaxQueries int
+	// MaxTickets bounds the records of the submit ledger.
+	MaxTickets int
+}
+
+func (e *Entry) read(t *tomldoc.Table) {
+	e.Common.read(t)
+	e.Callers = address(t, "callers")
+	e.Frames = address(t, "frames")
+	queries, _ := t.Int("max_queries", 1, maxQueries)
+	tickets, _ := t.Int("max_tickets", 1, maxTickets)
+	e.MaxQueries, e.MaxTickets = int(queries), int(tickets)
+	differ(t, map[string]string{"admin": e.Admin, "agent": e.Agent, "callers": e.Callers, "frames": e.Frames},
+		"admin", "agent", "callers", "frames")
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"os"
+	"strings"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/tomldoc"
+)
+
+// Validator is a pointer to settings that fill themselves from a table and
+// report what doesn't fit.
+type Validator[T any] interface {
+	*T
+	read(t *tomldoc.Table)
+}
+
+// Load reads the settings in a file, as in Load[Entry](path). The error names
+// every fault.
+func Load[T any, V Validator[T]](path string) (T, error) {
+	var settings T
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings, errs.Wrap(err, errs.StepSettings, path, errs.ReasonInvalid, true)
+	}
+	return parse[T, V](path, text)
+}
+
+func parse[T any, V Validator[T]](path string, text []byte) (T, error) {
+	var settings, none T
+	doc := tomldoc.Parse(text)
+	if len(doc.Problems()) == 0 {
+		V(&settings).read(doc.Root())
+		doc.Root().Finish()
+	}
+	problems := doc.Problems()
+	if len(problems) == 0 {
+		return settings, nil
+	}
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = path + " " + p.String()
+	}
+	return none, errs.New(errs.StepSettings, path, errs.ReasonInvalid, true, "%s", strings.Join(lines, "\n"))
+}
