Add the relay shell, the entry's request paths and the operators' commands

The relay holds one goroutine per leaf, which composes the leaf's queue, warm-up and lease decisions; leaf facts have a lock of their own, because a worker that publishes while the server hands it events under one lock would deadlock once its queue is full.

--- /dev/null
+++ b/cmd/medlarctl/admin.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
+	"github.com/medlarswitch/medlarswitch/internal/command"
+	"github.com/medlarswitch/medlarswitch/internal/platform"
+)
+
+const (
+	adminTimeout = 2 * time.Second
+	// maxParallel bounds the processes that are asked at a time.
+	maxParallel = 64
+)
+
+// newPlatform returns the client that the global flags describe.
+func newPlatform(c *cli.Command) (*platform.Client, error) {
+	url := c.String("platform")
+	if url == "" {
+		return nil, command.WithExit(command.ExitUsage, errors.New("--platform or MEDLAR_PLATFORM is required, such as http://10.0.0.1:7000"))
+	}
+	return platform.NewClient(url, c.String("team")), nil
+}
+
+// adminReply is the answer of one process, or why there is none.
+type adminReply[T any] struct {
+	Address string `json:"address"`
+	Message T      `json:"message,omitempty"`
+	Error   string `json:"error,omitempty"`
+}
+
+// askAll calls the AdminService of every process that the VM list names. An
+// unreachable process does not fail the others.
+func askAll[T any](ctx context.Context, c *cli.Command, call func(context.Context, medlarv1connect.AdminServiceClient) (T, error)) ([]adminReply[T], error) {
+	client, err := newPlatform(c)
+	if err != nil {
+		return nil, err
+	}
+	view, err := client.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var addrs []string
+	for _, vm := range view.VMs {
+		addrs = append(addrs, vm.AdminAddresses...)
+	}
+	replies := make([]adminReply[T], len(addrs))
+	var g errgroup.Group
+	g.SetLimit(maxParallel)
+	for i, addr := range addrs {
+		g.Go(func() error {
+			replies[i] = askOne(ctx, addr, call)
+			return nil
+		})
+	}
+	return replies, g.Wait()
+}
+
+func askOne[T any](ctx context.Context, addr string, call func(context.Context, medlarv1connect.AdminServiceClient) (T, error)) adminReply[T] {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	client := medlarv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+addr)
+	msg, err := call(ctx, client)
+	if err != nil {
+		return adminReply[T]{Address: addr, Error: connect.CodeOf(err).String() + ": " + err.Error()}
+	}
+	return adminReply[T]{Address: addr, Message: msg}
+}
--- /dev/null
+++ b/internal/command/daemon.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
+)
+
+// Daemon describes a long-running program.
+type Daemon struct {
+	Name  string
+	Usage string
+	// Description is the longer help text, with an example of the settings.
+	Description string
+	// Load reads and checks the settings file and returns a function that
+	// runs the program until the context is done.
+	Load func(path string) (run func(ctx context.Context) error, verbosity int, err error)
+}
+
+// Main runs the program with the process's arguments and returns its exit code.
+func (d *Daemon) Main() int {
+	app := &cli.Command{
+		Name: d.Name, Usage: d.Usage, Description: d.Description, Version: Version,
+		UsageText: d.Name + " --settings FILE [--check]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE` (TOML)", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit: 0 if they are valid, 3 if not"},
+		},
+		Action: d.start,
+	}
+	err := app.Run(context.Background(), os.Args)
+	klog.Flush()
+	return ExitCode(err)
+}
+
+func (d *Daemon) start(ctx context.Context, c *cli.Command) error {
+	run, verbosity, err := d.Load(c.String("settings"))
+	if err != nil {
+		return WithExit(ExitSettings, err)
+	}
+	if c.Bool("check") {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	setVerbosity(verbosity)
+	ctx, stop := lifecycle.StopContext(ctx)
+	defer stop()
+	klog.InfoS("Starting", "program", d.Name, "version", Version)
+	if err := run(ctx); err != nil {
+		return WithExit(ExitFailed, err)
+	}
+	klog.InfoS("Stopped", "program", d.Name)
+	return nil
+}
+
+func setVerbosity(level int) {
+	var flags flag.FlagSet
+	klog.InitFlags(&flags)
+	_ = flags.Set("v", strconv.Itoa(level))
+}
--- /dev/null
+++ b/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command holds what the command lines of the programs share.
+package command
--- /dev/null
+++ b/internal/command/error.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// exitError is an error with the exit code that it leads to.
+type exitError struct {
+	error
+	code int
+}
+
+// Unwrap returns the cause.
+func (e exitError) Unwrap() error { return e.error }
+
+// WithExit gives an error an exit code.
+func WithExit(code int, err error) error { return exitError{error: err, code: code} }
+
+// ExitCode prints an error and returns the exit code that it leads to.
+func ExitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "error:", err)
+	var e exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return ExitUsage
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
+	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/telemetry"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// maxDrain bounds the wait for running requests at a planned stop; no
+	// class may have a longer deadline.
+	maxDrain = 30 * time.Second
+	// expireInterval is how often expired tickets are dropped.
+	expireInterval = time.Second
+)
+
+// Config holds the limits of an entry process.
+type Config struct {
+	// MaxQueries is the number of queries that run at a time.
+	MaxQueries int
+	// MaxTickets is the number of tickets that are open at a time.
+	MaxTickets int
+	DrainDelay time.Duration
+}
+
+// Server is the entry process. Its methods are safe for concurrent use.
+type Server struct {
+	proc      *telemetry.Process
+	cfg       Config
+	view      atomic.Pointer[view]
+	builder   *viewBuilder
+	relays    *wire.Links
+	entries   *wire.Links
+	frames    *wire.Server
+	drain     *lifecycle.Drain
+	policy    *policy
+	submits   *submits
+	metrics   *entryMetrics
+	requestID atomic.Uint64
+	stopping  atomic.Bool
+
+	factsMu   sync.Mutex
+	sendFacts func(any)
+}
+
+// NewServer returns an entry without configuration.
+func NewServer(proc *telemetry.Process, cfg Config) *Server {
+	s := &Server{proc: proc, cfg: cfg, drain: lifecycle.NewDrain(), metrics: newEntryMetrics(proc.Metrics)}
+	s.policy = newPolicy(proc, cfg)
+	s.submits = newSubmits(proc, cfg)
+	s.view.Store(emptyView())
+	s.builder = newViewBuilder(proc.Self.VM, proc.Self.Zone, s.policy, proc.Now, s.view.Store)
+	s.frames = wire.NewServer(proc.Self, proc.WireOptions(s.handle))
+	s.relays = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
+	s.entries = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
+	return s
+}
+
+// Listeners are the sockets of an entry process.
+type Listeners struct {
+	Callers net.Listener
+	Frames  net.Listener
+}
+
+// Run serves until the context is done, then stops gracefully: it goes on
+// accepting for the drain delay, then waits for what runs.
+func (s *Server) Run(ctx context.Context, ln Listeners) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go s.builder.run(work)
+	go s.policy.run(work)
+	go s.submits.run(work)
+	go func() { _ = s.frames.Serve(work, ln.Frames) }()
+	mux := http.NewServeMux()
+	mux.Handle(medlarv1connect.NewQueryServiceHandler(s))
+	callers := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = callers.Serve(ln.Callers) }()
+	<-ctx.Done()
+	return s.stop(callers)
+}
+
+// stop finishes what runs. The balancer is told by readiness; what it still
+// sends during the drain delay is served.
+func (s *Server) stop(callers *http.Server) error {
+	s.stopping.Store(true)
+	s.drain.Begin()
+	s.proc.Events.Add(timeline.KindDrain, "", string(s.proc.Self.VM), "")
+	time.Sleep(s.cfg.DrainDelay)
+	idle := s.drain.Wait(maxDrain)
+	ctx, cancel := context.WithTimeout(context.Background(), maxDrain)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	klog.InfoS("Entry stopped", "idle", idle)
+	s.frames.Close()
+	s.relays.Set(ctx, nil)
+	s.entries.Set(ctx, nil)
+	return err
+}
+
+// SetTopology brings a configuration into force.
+func (s *Server) SetTopology(_ context.Context, t *topology.Topology) {
+	s.proc.Events.Add(timeline.KindInForce, "", "generation", itoa(t.Generation))
+	s.builder.inputs <- viewInput{topology: t}
+}
+
+// SetVMs brings a VM list into force and connects to the VMs in it.
+func (s *Server) SetVMs(ctx context.Context, v topology.VMView) {
+	var relays, entries []string
+	for _, vm := range v.VMs {
+		relays = append(relays, vm.RelayAddress)
+		if vm.ID != s.proc.Self.VM {
+			entries = append(entries, vm.EntryAddress)
+		}
+	}
+	s.relays.Set(ctx, relays)
+	s.entries.Set(ctx, entries)
+	s.builder.inputs <- viewInput{vms: &v}
+}
+
+// handle takes messages of relays and of other entries.
+func (s *Server) handle(p *wire.Peer, env *wire.Envelope) {
+	switch env.Kind {
+	case wire.KindLeafFacts:
+		s.leafFacts(p, env)
+	case wire.KindSubmit:
+		go s.forwardedSubmit(p, env)
+	case wire.KindBeginSubmit:
+		s.forwardedBegin(p, env)
+	}
+}
+
+func (s *Server) leafFacts(p *wire.Peer, env *wire.Envelope) {
+	var facts []message.LeafFacts
+	if err := wire.DecodeBody(env, &facts); err != nil {
+		klog.ErrorS(err, "Cannot decode leaf facts", "peer", p.Remote.VM)
+		return
+	}
+	for _, f := range facts {
+		s.builder.inputs <- viewInput{facts: &leafReport{from: p.Remote.VM, facts: f}}
+	}
+}
+
+// Status fills in the entry's part of the operators' status.
+func (s *Server) Status(out *medlarv1.StatusResponse) {
+	v := s.view.Load()
+	if v.topology == nil {
+		return
+	}
+	out.Generation = v.topology.Generation
+	out.Ready = !s.stopping.Load()
+	for _, vm := range v.vms.VMs {
+		out.Vms = append(out.Vms, &medlarv1.VMStatus{Id: string(vm.ID), Zone: string(vm.Zone)})
+	}
+}
+
+func (s *Server) newRequestID() string {
+	return string(s.proc.Self.VM) + "-" + s.proc.Self.Boot.String() + "-" + itoa(s.requestID.Add(1))
+}
--- a/internal/errs/error.go
+++ b/internal/errs/error.go
@@ -15,7 +15,10 @@
 	// NotRun is true only when the request is known not to have started at
 	// an upstream. False means that it may have run.
 	NotRun bool
-	Err    error
+	// Crash is true when the connection to the leaf was lost while the
+	// request ran, which may mean that the request crashed the leaf.
+	Crash bool
+	Err   error
 }
 
 // New returns an error whose cause is a message.
--- a/internal/message/leaf_reply.go
+++ b/internal/message/leaf_reply.go
@@ -15,6 +15,8 @@
 	Hits     []Hit             `msgpack:"i,omitempty"`
 	Result   []byte            `msgpack:"r,omitempty"`
 	Failure  *Failure          `msgpack:"f,omitempty"`
+	// Crash is true when the connection was lost while the request ran.
+	Crash bool `msgpack:"x,omitempty"`
 	// RunTime is how long the leaf took, without the relay's queue.
 	RunTime time.Duration `msgpack:"t"`
 }
--- a/internal/message/submit.go
+++ b/internal/message/submit.go
@@ -16,6 +16,19 @@
 	Deadline time.Duration    `msgpack:"d"`
 }
 
+// BeginForward asks another entry to issue a ticket, for an entry that is
+// about to stop.
+type BeginForward struct {
+	Class topology.ClassID `msgpack:"c"`
+}
+
+// BeginAnswer is a ticket or a refusal.
+type BeginAnswer struct {
+	Ticket   string        `msgpack:"t"`
+	Lifetime time.Duration `msgpack:"l"`
+	Failure  *Failure      `msgpack:"f,omitempty"`
+}
+
 // SubmitAnswer is the outcome of a submit.
 type SubmitAnswer struct {
 	// Outcome is a value of submit.Kind.
@@ -24,5 +37,6 @@
 	Reason    errs.Reason `msgpack:"e,omitempty"`
 	Repeated  bool        `msgpack:"p"`
 	RequestID string      `msgpack:"q"`
-	Failure   *Failure    `msgpack:"f,omitempty"`
+	// Failure is set instead of an outcome for a submit that is not valid.
+	Failure *Failure `msgpack:"f,omitempty"`
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -95,6 +95,7 @@
 			ID: topology.VMID(vm.GetId()), Zone: topology.Zone(vm.GetZone()),
 			EntryAddress: vm.GetEntryAddress(), RelayAddress: vm.GetRelayAddress(),
 			AgentAddress: vm.GetAgentAddress(), Leaving: vm.GetLeaving(),
+			AdminAddresses: vm.GetAdminAddresses(),
 		})
 	}
 	return view, nil
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/telemetry"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// factsInterval is how often all facts are repeated to all entries, so that
+// they notice a relay that stopped.
+const factsInterval = time.Second
+
+// Server is the relay process.
+type Server struct {
+	proc   *telemetry.Process
+	frames *wire.Server
+	links  *wire.Links
+	leases leases
+	drain  *lifecycle.Drain
+	hub    *factsHub
+	nextID atomic.Uint64
+
+	mu       sync.Mutex
+	topology *topology.Topology
+	views    [2]topology.VMView // current and previous VM list
+	workers  map[topology.LeafID]*runningWorker
+	calls    map[callKey]openCall
+	stopping bool
+}
+
+// callKey identifies an entry's call, for its cancellation.
+type callKey struct {
+	peer *wire.Peer
+	id   uint64
+}
+
+// runningWorker is a worker with what ends it.
+type runningWorker struct {
+	*leafWorker
+	stop context.CancelFunc
+}
+
+// NewServer returns a relay without configuration.
+func NewServer(proc *telemetry.Process) *Server {
+	s := &Server{
+		proc: proc, drain: lifecycle.NewDrain(), hub: newFactsHub(),
+		workers: make(map[topology.LeafID]*runningWorker),
+		calls:   make(map[callKey]openCall),
+	}
+	s.leases = openLeases{}
+	s.frames = wire.NewServer(proc.Self, proc.WireOptions(s.handle))
+	s.frames.OnPeer = s.hub.join
+	s.links = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
+	return s
+}
+
+// Run serves until the context is done, then stops gracefully: it goes on
+// accepting for the drain delay, then waits for what runs.
+func (s *Server) Run(ctx context.Context, ln net.Listener, drainDelay time.Duration) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() { _ = s.frames.Serve(work, ln) }()
+	go s.repeatFacts(work)
+	<-ctx.Done()
+	s.beginDrain()
+	time.Sleep(drainDelay)
+	idle := s.drain.Wait(maxDrain)
+	klog.InfoS("Relay stopped", "idle", idle)
+	_ = ln.Close()
+	s.links.Set(work, nil)
+	s.frames.Close()
+	return nil
+}
+
+// maxDrain bounds the wait for running requests at a planned stop; no class
+// may have a longer deadline.
+const maxDrain = 30 * time.Second
+
+func (s *Server) beginDrain() {
+	s.drain.Begin()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+// handle takes messages of entries and of other relays.
+func (s *Server) handle(p *wire.Peer, env *wire.Envelope) {
+	switch env.Kind {
+	case wire.KindLeafRequest:
+		s.leafRequest(p, env)
+	case wire.KindCancel:
+		s.cancel(p, env.ID)
+	case wire.KindLeafFacts:
+		s.peerFacts(p, env)
+	}
+}
+
+func (s *Server) leafRequest(p *wire.Peer, env *wire.Envelope) {
+	var msg message.LeafRequest
+	if err := wire.DecodeBody(env, &msg); err != nil {
+		s.reply(p, env, refused(&msg, env, s.proc.Name(), errs.ReasonInvalid))
+		return
+	}
+	worker, reason := s.find(msg.Leaf)
+	if worker == nil {
+		s.reply(p, env, refused(&msg, env, s.proc.Name(), reason))
+		return
+	}
+	now := s.proc.Now()
+	key := callKey{peer: p, id: env.ID}
+	leave := s.drain.Enter()
+	req := &leafRequest{
+		id: s.nextID.Add(1), message: msg, snapshot: env.Snapshot,
+		startBy: now + msg.StartBy, deadline: now + msg.Deadline,
+	}
+	req.answer = func(r *message.LeafReply) {
+		s.forget(key)
+		s.reply(p, env, r)
+		leave()
+	}
+	s.remember(key, worker, req.id)
+	if !worker.post(requestArrived{request: req}) {
+		req.answer(refused(&msg, env, s.proc.Name(), errs.ReasonOverloaded))
+	}
+}
+
+func (s *Server) reply(p *wire.Peer, env *wire.Envelope, r *message.LeafReply) {
+	if err := p.Reply(env, wire.KindLeafReply, r); err != nil {
+		klog.ErrorS(err, "Cannot encode reply", "leaf", r.Leaf)
+	}
+}
+
+// find returns the worker of a leaf, or the reason why there is none.
+func (s *Server) find(leaf topology.LeafID) (*leafWorker, errs.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.workers[leaf]
+	switch {
+	case s.topology == nil:
+		return nil, errs.ReasonNoConfig
+	case !ok:
+		return nil, errs.ReasonNotOwner
+	default:
+		return w.leafWorker, ""
+	}
+}
+
+func refused(msg *message.LeafRequest, env *wire.Envelope, peer string, reason errs.Reason) *message.LeafReply {
+	err := errs.New(errs.StepRelayQueue, peer, reason, true, "refused by relay")
+	return &message.LeafReply{
+		Leaf: msg.Leaf, Shard: topology.ShardID(env.Shard),
+		Failure: message.NewFailure(err, err.Step, err.Peer),
+	}
+}
+
+// Status fills in the relay's part of the operators' status.
+func (s *Server) Status(out *medlarv1.StatusResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.topology != nil {
+		out.Generation = s.topology.Generation
+	}
+	out.Ready = s.topology != nil && !s.stopping
+	for _, f := range s.hub.all() {
+		out.Leaves = append(out.Leaves, &medlarv1.LeafStatus{Leaf: string(f.Leaf), State: f.State, Reason: f.Reason})
+	}
+}
--- /dev/null
+++ b/internal/relay/server_facts.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// repeatFacts repeats all facts and looks again which leaves to serve.
+func (s *Server) repeatFacts(ctx context.Context) {
+	tick := time.NewTicker(factsInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		s.hub.repeat()
+		s.mu.Lock()
+		for _, w := range s.workers {
+			w.mustPost(ctx, ranked{serving: s.serving(w.leaf)})
+		}
+		s.mu.Unlock()
+	}
+}
+
+// peerFacts passes on to a worker what another relay says of its leaf.
+func (s *Server) peerFacts(p *wire.Peer, env *wire.Envelope) {
+	var facts []message.LeafFacts
+	if err := wire.DecodeBody(env, &facts); err != nil {
+		klog.ErrorS(err, "Cannot decode leaf facts", "peer", p.Remote.VM)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range facts {
+		if w, ok := s.workers[f.Leaf]; ok {
+			w.post(peerFacts{from: p.Remote.VM, facts: f})
+		}
+	}
+}
+
+// mustPost waits for room, since the event must not be lost.
+func (w *leafWorker) mustPost(ctx context.Context, ev workerEvent) {
+	select {
+	case w.inbox <- ev:
+	case <-ctx.Done():
+	}
+}
+
+func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/internal/relay/worker.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/leafqueue"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/telemetry"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/warmup"
+)
+
+const (
+	inboxSize = 1024
+	maxQueued = 64
+	// probeInterval is how often a leaf is asked for its report. The answer
+	// also tests the connection that was used last.
+	probeInterval = time.Second
+	// idleWake bounds how long a worker sleeps when nothing is due.
+	idleWake = time.Second
+)
+
+// leases is the right to send to cold leaves. Implementations are safe for
+// concurrent use.
+type leases interface {
+	// Want asks for a leaf's lease, or gives up asking.
+	Want(leaf topology.LeafID, runLimit time.Duration, want bool)
+	// Held returns until when the lease is held.
+	Held(now time.Duration, leaf topology.LeafID) (until time.Duration, ok bool)
+	// Dispatched and Ended frame each request in the leaf.
+	Dispatched(leaf topology.LeafID)
+	Ended(leaf topology.LeafID)
+}
+
+// leafWorker holds the decisions for one leaf. All fields below inbox belong
+// to the goroutine that runs it.
+type leafWorker struct {
+	proc     *telemetry.Process
+	leaf     *topology.Leaf
+	runLimit time.Duration
+	client   *leafClient
+	leases   leases
+	publish  func(message.LeafFacts)
+	inbox    chan workerEvent
+
+	queue    *leafqueue.Queue
+	tracker  *warmup.Tracker
+	requests map[uint64]*leafRequest
+	running  map[uint64]context.CancelFunc
+	// uncertain holds requests whose end at the leaf is unknown; they keep
+	// their slot until slotFreed.
+	uncertain map[uint64]bool
+	probing   bool
+	lastProbe time.Duration
+	facts     message.LeafFacts
+	wanted    bool
+	serving   bool
+	open      bool
+	closedFor errs.Reason
+}
+
+func newLeafWorker(proc *telemetry.Process, leaf *topology.Leaf, index *topology.Index, connections int, l leases, publish func(message.LeafFacts)) *leafWorker {
+	return &leafWorker{
+		proc: proc, leaf: leaf, runLimit: index.RunLimit, leases: l, publish: publish,
+		client:    newLeafClient(leaf, connections),
+		inbox:     make(chan workerEvent, inboxSize),
+		queue:     leafqueue.New(leafqueue.Config{MaxQueued: maxQueued}),
+		tracker:   warmup.New(warmup.Config{Slots: index.Slots}),
+		requests:  make(map[uint64]*leafRequest),
+		running:   make(map[uint64]context.CancelFunc),
+		uncertain: make(map[uint64]bool),
+		open:      true,
+	}
+}
+
+// post hands an event to the worker and reports whether there was room.
+func (w *leafWorker) post(ev workerEvent) bool {
+	select {
+	case w.inbox <- ev:
+		return true
+	default:
+		return false
+	}
+}
+
+// run handles events until the context is done.
+func (w *leafWorker) run(ctx context.Context) {
+	defer w.client.close()
+	defer w.leases.Want(w.leaf.ID, w.runLimit, false)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case ev := <-w.inbox:
+			w.handle(ctx, ev)
+		case <-timer.C:
+			w.step(ctx, leafqueue.Tick{})
+		case <-ctx.Done():
+			return
+		}
+		w.probeIfDue(ctx)
+		w.tell()
+		timer.Reset(w.nextWake())
+	}
+}
+
+func (w *leafWorker) handle(ctx context.Context, ev workerEvent) {
+	switch ev := ev.(type) {
+	case requestArrived:
+		w.requests[ev.request.id] = ev.request
+		w.step(ctx, leafqueue.Add{ID: ev.request.id, Priority: ev.request.message.Priority, StartBy: ev.request.startBy})
+	case requestCancelled:
+		w.step(ctx, leafqueue.Cancel{ID: ev.id})
+	case requestEnded:
+		w.ended(ctx, ev)
+	case slotFreed:
+		w.free(ctx, ev.id)
+	case probeEnded:
+		w.probed(ev)
+		w.step(ctx, leafqueue.Tick{})
+	case accepting:
+		w.setAccepting(ctx, ev)
+	case ranked:
+		w.serving = ev.serving
+		w.step(ctx, leafqueue.Tick{})
+	case leaseChanged:
+		w.step(ctx, leafqueue.Tick{})
+	case peerFacts:
+		w.inherit(ev)
+		w.step(ctx, leafqueue.Tick{})
+	}
+}
+
+// step applies an event to the queue under the limit that holds now.
+func (w *leafWorker) step(ctx context.Context, ev leafqueue.Event) {
+	now := w.proc.Now()
+	w.wantLease()
+	w.apply(ctx, w.queue.Step(now, w.limit(now)))
+	w.apply(ctx, w.queue.Step(now, ev))
+}
+
+// limit is what the leaf may get now; nothing without the lease it needs.
+func (w *leafWorker) limit(now time.Duration) leafqueue.SetLimit {
+	l := w.tracker.Limit(now)
+	if w.tracker.NeedsLease() {
+		if _, held := w.leases.Held(now, w.leaf.ID); !held {
+			return leafqueue.SetLimit{}
+		}
+	}
+	return leafqueue.SetLimit{InFlight: l.InFlight, NotBefore: l.NotBefore}
+}
+
+// wantLease asks for the lease while the leaf needs one and takes work.
+func (w *leafWorker) wantLease() {
+	want := w.serving && w.open && w.tracker.NeedsLease()
+	if want != w.wanted {
+		w.wanted = want
+		w.leases.Want(w.leaf.ID, w.runLimit, want)
+	}
+}
+
+func (w *leafWorker) apply(ctx context.Context, actions []leafqueue.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case leafqueue.Dispatch:
+			w.dispatch(ctx, a.ID)
+		case leafqueue.Refuse:
+			w.refuse(a)
+		case leafqueue.Abort:
+			if cancel, ok := w.running[a.ID]; ok {
+				cancel()
+			}
+		}
+	}
+}
+
+func (w *leafWorker) refuse(a leafqueue.Refuse) {
+	req, ok := w.requests[a.ID]
+	if !ok {
+		return
+	}
+	delete(w.requests, a.ID)
+	reason := a.Reason
+	if reason == errs.ReasonStartBy && w.tracker.NeedsLease() {
+		reason = errs.ReasonCold
+	}
+	err := errs.New(errs.StepRelayQueue, string(w.leaf.ID), reason, true, "refused by the leaf's queue")
+	w.proc.Events.Add(timeline.KindRefusal, req.message.RequestID, string(w.leaf.ID), string(reason))
+	req.answer(failedReply(w.leaf, err))
+}
+
+func (w *leafWorker) setAccepting(ctx context.Context, ev accepting) {
+	if w.open == ev.open && w.closedFor == ev.reason {
+		return
+	}
+	w.open, w.closedFor = ev.open, ev.reason
+	if ev.open {
+		w.step(ctx, leafqueue.Open{})
+		return
+	}
+	w.step(ctx, leafqueue.Close{Reason: ev.reason})
+}
+
+func (w *leafWorker) nextWake() time.Duration {
+	now := w.proc.Now()
+	at, ok := w.queue.NextWake(now)
+	if !ok || at-now > idleWake {
+		return idleWake
+	}
+	return max(at-now, 0)
+}
+
+func failedReply(leaf *topology.Leaf, err *errs.Error) *message.LeafReply {
+	return &message.LeafReply{
+		Leaf: leaf.ID, Shard: leaf.Shard,
+		Failure: message.NewFailure(err, err.Step, err.Peer),
+	}
+}
--- /dev/null
+++ b/internal/relay/worker_event.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"time"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// workerEvent is an input of a leafWorker.
+type workerEvent interface{ workerEvent() }
+
+// requestArrived brings a leaf request of an entry.
+type requestArrived struct{ request *leafRequest }
+
+// requestCancelled says that the entry no longer wants a reply.
+type requestCancelled struct{ id uint64 }
+
+// requestEnded brings the leaf's answer.
+type requestEnded struct {
+	id     uint64
+	result leafResult
+}
+
+// slotFreed ends the wait for a request whose end at the leaf is unknown.
+type slotFreed struct{ id uint64 }
+
+// probeEnded brings the leaf's report or a failure.
+type probeEnded struct {
+	report *medlarv1.ReportResponse
+	err    error
+}
+
+// accepting opens the leaf to work, or closes it with a reason.
+type accepting struct {
+	open   bool
+	reason errs.Reason
+}
+
+// ranked says whether this relay is the one that serves the leaf now: rank 1,
+// or rank 2 while rank 1 does not answer.
+type ranked struct{ serving bool }
+
+// leaseChanged says that the right to send to the cold leaf may have changed.
+type leaseChanged struct{}
+
+// peerFacts is what another relay says of the leaf.
+type peerFacts struct {
+	from  topology.VMID
+	facts message.LeafFacts
+}
+
+func (requestArrived) workerEvent()   {}
+func (requestCancelled) workerEvent() {}
+func (requestEnded) workerEvent()     {}
+func (slotFreed) workerEvent()        {}
+func (probeEnded) workerEvent()       {}
+func (accepting) workerEvent()        {}
+func (ranked) workerEvent()           {}
+func (leaseChanged) workerEvent()     {}
+func (peerFacts) workerEvent()        {}
+
+// leafRequest is a request on its way through the relay.
+type leafRequest struct {
+	id       uint64
+	message  message.LeafRequest
+	snapshot topology.Snapshot
+	// startBy and deadline are on the relay's monotonic clock.
+	startBy  time.Duration
+	deadline time.Duration
+	// answer sends the reply to the entry; it is called exactly once.
+	answer func(*message.LeafReply)
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -77,6 +77,9 @@
 			EntryAddress: f.VMAddress(i, PortEntryFrames),
 			RelayAddress: f.VMAddress(i, PortRelayFrames),
 			AgentAddress: f.VMAddress(i, PortAgentFrames),
+			AdminAddresses: []string{
+				f.VMAddress(i, PortEntryAdmin), f.VMAddress(i, PortRelayAdmin), f.VMAddress(i, PortAgentAdmin),
+			},
 		})
 	}
 }
--- a/internal/topology/vm.go
+++ b/internal/topology/vm.go
@@ -8,6 +8,8 @@
 	RelayAddress string `msgpack:"r"`
 	AgentAddress string `msgpack:"a"`
 	Leaving      bool   `msgpack:"l"`
+	// AdminAddresses are the operators' endpoints of the VM's processes.
+	AdminAddresses []string `msgpack:"d,omitempty"`
 }
 
 // VMView is one version of the platform's list of VMs. The list is late, but a
