--- a/internal/submit/ticket_test.go
+++ b/internal/submit/ticket_test.go
@@ -1,7 +1,6 @@
 package submit
 
 import (
-	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -10,7 +9,6 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
@@ -24,8 +22,7 @@
 			IssuedAt: time.Duration(rapid.Int64Range(0, math.MaxInt64).Draw(t, "issued")),
 		}
 		got, err := ParseTicket(want.String())
-		assert.NilError(t, err)
-		assert.Equal(t, got, want)
+		assert.DeepEqual(t, []any{got, err}, []any{want, nil})
 	})
 }
 
@@ -33,30 +30,26 @@
 // errors that do not name the field or claim "not run".
 func TestParseTicketErrors(t *testing.T) {
 	for text, field := range map[string]string{
-		"":                            "field count",
-		"b1:1:0":                      "field count",
-		"b1:1:0:":                     "VM",
-		"b1:1:0:a b":                  "VM",
-		"b1:1:0:é":                    "VM",
-		"1:1:0:" + long(256):          "VM",
-		"b1:1:0:" + long(400):         "length",
-		":1:0:vm":                     "boot",
-		"B1:1:0:vm":                   "boot",
-		"0b1:1:0:vm":                  "boot",
-		"11111111111111111:1:0:vm":    "boot",
-		"b1:0:0:vm":                   "sequence",
-		"b1:+1:0:vm":                  "sequence",
-		"b1:01:0:vm":                  "sequence",
-		"b1: 1:0:vm":                  "sequence",
-		"b1:1:-1:vm":                  "issue time",
-		"b1:1:9223372036854775808:vm": "issue time",
+		"":                                   "field count",
+		"b1:1:0":                             "field count",
+		"b1:1:0:":                            "VM",
+		"b1:1:0:a b":                         "VM",
+		"b1:1:0:é":                           "VM",
+		"1:1:0:" + strings.Repeat("v", 256):  "VM",
+		"b1:1:0:" + strings.Repeat("v", 400): "length",
+		":1:0:vm":                            "boot",
+		"B1:1:0:vm":                          "boot",
+		"0b1:1:0:vm":                         "boot",
+		"11111111111111111:1:0:vm":           "boot",
+		"b1:0:0:vm":                          "sequence",
+		"b1:+1:0:vm":                         "sequence",
+		"b1:01:0:vm":                         "sequence",
+		"b1: 1:0:vm":                         "sequence",
+		"b1:1:-1:vm":                         "issue time",
+		"b1:1:9223372036854775808:vm":        "issue time",
 	} {
 		_, err := ParseTicket(text)
-		var e *errs.Error
-		assert.Assert(t, asError(err, &e), "%q: %v", text, err)
-		assert.ErrorContains(t, err, fmt.Sprintf("%s of ticket: ", field), "%q", text)
-		assert.DeepEqual(t, []any{e.Step, e.Reason, e.NotRun}, []any{errs.StepTicket, errs.ReasonInvalid, false})
+		assert.ErrorContains(t, err, ": "+field+" of ticket: ", "%q", text)
+		assert.Equal(t, refusal(err), "ticket invalid-request notrun=false")
 	}
 }
-
-func long(n int) string { return strings.Repeat("v", n) }
