--- a/internal/submit/faults_test.go
+++ b/internal/submit/faults_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
 // step is one call, for a ticket issued at time 0, and the result it must have.
@@ -139,3 +140,12 @@
 		assert.DeepEqual(t, repeat, want)
 	}
 }
+
+// Guards against requests that differ only in where one field ends.
+func TestRequestHash(t *testing.T) {
+	seen := map[uint64]bool{}
+	for _, r := range [][3]string{{"ab", "c", "d"}, {"a", "bc", "d"}, {"a", "b", "cd"}, {"abc", "", "d"}} {
+		seen[RequestHash(topology.ClassID(r[0]), topology.ShardID(r[1]), []byte(r[2]))] = true
+	}
+	assert.Equal(t, len(seen), 4)
+}
