Route a ticket to the VM that issued it

Cause: a caller may submit a ticket at any entry, but only the issuing boot has the record.

Ruled out: - Forwarding a ticket that was already forwarded: an address that has passed to another VM lets two entries with different lists send it in a circle. - Trusting NotRun in the error of a forward: it speaks for that forward only; an earlier attempt under the ticket may have run the request.

--- /dev/null
+++ b/internal/submit/route/doc.go
@@ -0,0 +1,3 @@
+// Package route decides which VM handles a ticket: this one, the VM that issued
+// it, or none because the issuer is gone.
+package route
