--- /dev/null
+++ b/internal/agent/server.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/platform"
+	"github.com/medlarswitch/medlarswitch/internal/telemetry"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// Config holds the settings of an agent.
+type Config struct {
+	// Self is the VM's entry in the VM list, as its settings give it.
+	Self topology.VM
+	// Platform is the URL of the object store and the VM list.
+	Platform string
+	// PollInterval is the time between reads of the VM list.
+	PollInterval time.Duration
+	// Peers are agents to ask before the VM list is known.
+	Peers []string
+	// DrainDelay is how long a stopping agent goes on serving its VM.
+	DrainDelay time.Duration
+}
+
+// Server is the agent process. Its methods are safe for concurrent use.
+type Server struct {
+	proc     *telemetry.Process
+	cfg      Config
+	platform *platform.Client
+	frames   *wire.Server
+	peers    *wire.Links
+	loop     *configLoop
+	store    *storeReader
+
+	mu          sync.Mutex
+	view        topology.VMView
+	manifest    confsync.Manifest // in force here
+	subscribers map[*wire.Peer]struct{}
+}
+
+// NewServer returns an agent without configuration.
+func NewServer(proc *telemetry.Process, cfg Config) *Server {
+	s := &Server{
+		proc: proc, cfg: cfg, platform: platform.NewClient(cfg.Platform, ""),
+		subscribers: make(map[*wire.Peer]struct{}),
+	}
+	s.frames = wire.NewServer(proc.Self, proc.WireOptions(s.handle))
+	s.frames.OnPeer = s.joined
+	s.peers = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
+	s.loop = newConfigLoop(s)
+	s.store = newStoreReader(proc, s.platform, s.loop.report)
+	return s
+}
+
+// Run serves until the context is done. It goes on for the drain delay, since
+// the other processes of the VM stop at the same time and still need it.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() { _ = s.frames.Serve(work, ln) }()
+	s.peers.Set(work, s.cfg.Peers)
+	go s.loop.run(work)
+	go s.pollVMs(work)
+	go s.repeat(work)
+	<-ctx.Done()
+	time.Sleep(s.cfg.DrainDelay)
+	s.frames.Close()
+	return ln.Close()
+}
+
+// handle takes messages of other agents and of the VM's own processes.
+func (s *Server) handle(p *wire.Peer, env *wire.Envelope) {
+	switch env.Kind {
+	case wire.KindHeartbeat:
+		s.heartbeat(p, env)
+	case wire.KindConfigOffer:
+		var m confsync.Manifest
+		if decode(p, env, &m) {
+			s.loop.post(confsync.Offered{From: p.Remote.VM, Manifest: m})
+		}
+	case wire.KindConfigFetch:
+		go s.fetched(p, env)
+	case wire.KindVMView:
+		var msg message.VMView
+		if decode(p, env, &msg) {
+			s.setVMs(msg.View)
+		}
+	case wire.KindFact:
+		s.spread(p, env)
+	}
+}
+
+func (s *Server) heartbeat(p *wire.Peer, env *wire.Envelope) {
+	var hb message.Heartbeat
+	if !decode(p, env, &hb) {
+		return
+	}
+	s.loop.post(confsync.Heard{
+		From: p.Remote.VM, Generation: hb.Generation, StoreAge: hb.StoreAge, Ask: confsync.Ask(hb.Ask),
+	})
+	s.mu.Lock()
+	view := s.view
+	s.mu.Unlock()
+	if view.Version > hb.VMVersion {
+		notify(p, wire.KindVMView, message.VMView{View: view})
+	}
+}
+
+// fetched answers a request for the text of a section.
+func (s *Server) fetched(p *wire.Peer, env *wire.Envelope) {
+	var req message.ConfigFetch
+	if !decode(p, env, &req) {
+		return
+	}
+	text, ok := s.loop.section(req.Section, req.EditID)
+	push := message.ConfigPush{Section: req.Section, EditID: req.EditID, Found: ok, Text: text}
+	if err := p.Reply(env, wire.KindConfigPush, push); err != nil {
+		klog.ErrorS(err, "Cannot encode section", "section", req.Section)
+	}
+}
+
+// spread passes a fact of one of the VM's own processes to all agents, and one
+// of another agent to the VM's own processes.
+func (s *Server) spread(p *wire.Peer, env *wire.Envelope) {
+	targets := s.peers.Peers()
+	if p.Remote.Role == wire.RoleAgent {
+		targets = s.subscriberList()
+	}
+	for _, target := range targets {
+		target.Forward(env)
+	}
+}
+
+// Status fills in the agent's part of the operators' status.
+func (s *Server) Status(out *medlarv1.StatusResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out.Generation = s.manifest.Generation
+	out.Ready = s.manifest.Generation > 0
+	for _, vm := range s.view.VMs {
+		out.Vms = append(out.Vms, &medlarv1.VMStatus{Id: string(vm.ID), Zone: string(vm.Zone)})
+	}
+}
+
+func decode(p *wire.Peer, env *wire.Envelope, into any) bool {
+	if err := wire.DecodeBody(env, into); err != nil {
+		klog.ErrorS(err, "Cannot decode a message", "peer", p.Remote.VM, "kind", env.Kind)
+		return false
+	}
+	return true
+}
+
+func notify(p *wire.Peer, kind wire.Kind, body any) {
+	if err := p.Notify(kind, body); err != nil {
+		klog.ErrorS(err, "Cannot encode a message", "peer", p.Remote.VM, "kind", kind)
+	}
+}
--- /dev/null
+++ b/internal/agent/subscribers.go
@@ -0,0 +1,89 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// repeatInterval is how often the VM's own processes are told the generation
+// in force, so that they notice a silent agent.
+const repeatInterval = time.Second
+
+// joined tells a new process of the VM what is in force.
+func (s *Server) joined(p *wire.Peer) {
+	if p.Remote.Role != wire.RoleEntry && p.Remote.Role != wire.RoleRelay {
+		return
+	}
+	s.mu.Lock()
+	s.subscribers[p] = struct{}{}
+	manifest, view := s.manifest, s.view
+	s.mu.Unlock()
+	notify(p, wire.KindVMView, message.VMView{View: view})
+	if manifest.Generation > 0 {
+		notify(p, wire.KindConfigOffer, manifest)
+	}
+	go func() {
+		<-p.Done()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.subscribers, p)
+	}()
+}
+
+// inForce records a generation that passed its check and tells the VM's own
+// processes.
+func (s *Server) inForce(m confsync.Manifest) {
+	s.mu.Lock()
+	if m.Generation <= s.manifest.Generation {
+		s.mu.Unlock()
+		return
+	}
+	s.manifest = m
+	s.mu.Unlock()
+	detail := ""
+	if n := len(m.Edits); n > 0 {
+		detail = "edit " + m.Edits[n-1].EditID + " of section " + m.Edits[n-1].Section
+	}
+	s.proc.Events.Add(timeline.KindInForce, "", "generation "+itoa(m.Generation), detail)
+	s.tellManifest()
+}
+
+func (s *Server) tellManifest() {
+	s.mu.Lock()
+	m := s.manifest
+	s.mu.Unlock()
+	if m.Generation == 0 {
+		return
+	}
+	for _, p := range s.subscriberList() {
+		notify(p, wire.KindConfigOffer, m)
+	}
+}
+
+func (s *Server) subscriberList() []*wire.Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*wire.Peer, 0, len(s.subscribers))
+	for p := range s.subscribers {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (s *Server) repeat(ctx context.Context) {
+	tick := time.NewTicker(repeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.tellManifest()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/agentlink/receiver.go
@@ -0,0 +1,17 @@
+package agentlink
+
+import (
+	"context"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// Receiver takes what the agent says. Its methods are called from one
+// goroutine.
+type Receiver interface {
+	SetTopology(ctx context.Context, t *topology.Topology)
+	SetVMs(ctx context.Context, v topology.VMView)
+	// Fact takes a fact that another VM spread; see package quarantine.
+	Fact(env *wire.Envelope)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,9 +52,7 @@
 	metrics   *entryMetrics
 	requestID atomic.Uint64
 	stopping  atomic.Bool
-
-	factsMu   sync.Mutex
-	sendFacts func(any)
+	agent     agentSender
 }
 
 // NewServer returns an entry without configuration.
--- a/internal/entry/submit_run.go
+++ b/internal/entry/submit_run.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/submit"
@@ -30,13 +28,7 @@
 
 // hash identifies the request, so that a ticket serves only one.
 func (r *submission) hash() uint64 {
-	d := xxhash.New()
-	for _, part := range []string{string(r.class.ID), string(r.shard)} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(r.payload)
-	return d.Sum64()
+	return submit.RequestHash(r.class.ID, r.shard, r.payload)
 }
 
 // submitHere handles a submission whose ticket this process issued.
@@ -66,12 +58,12 @@
 	defer leave()
 	s.proc.Events.Add(timeline.KindSubmitStart, r.id, string(r.class.ID), r.ticket.String())
 	outcome := submit.Outcome{Kind: submit.NotRun, Reason: errs.ReasonDeadline}
+	defer func() { s.submits.finish(r.ticket, outcome) }()
 	if s.submits.dispatch(r.ticket) {
 		ctx, cancel := context.WithTimeout(ctx, r.deadline-s.proc.Now()+deadlineGrace)
 		defer cancel()
 		outcome = s.sendSubmit(ctx, r)
 	}
-	s.submits.finish(r.ticket, outcome)
 	s.proc.Events.Add(timeline.KindSubmitDone, r.id, string(r.class.ID), outcome.String())
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,9 +15,6 @@
 
 const (
 	callTimeout = 2 * time.Second
-	// watchTimeout bounds one waiting watch; the store answers it at the
-	// latest then, so that a watch whose connection went silent ends too.
-	watchTimeout = 20 * time.Second
 )
 
 // Client calls the platform. It is safe for concurrent use.
@@ -68,12 +65,12 @@
 }
 
 // Watch returns an object when its version differs from the given one, or
-// unchanged after a while.
-func (c *Client) Watch(ctx context.Context, key string, after uint64) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
+// unchanged after the wait.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	resp, err := c.store.Watch(ctx, connect.NewRequest(&medlarv1.WatchRequest{
-		Key: key, AfterVersion: after, WaitMs: uint32(watchTimeout.Milliseconds()),
+		Key: key, AfterVersion: after, WaitMs: uint32(wait.Milliseconds()),
 	}))
 	if err != nil {
 		return Object{}, c.wrap(err)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -165,6 +165,9 @@
 	}
 }
 
+// Fact implements agentlink.Receiver; a relay needs no facts.
+func (s *Server) Fact(*wire.Envelope) {}
+
 // Status fills in the relay's part of the operators' status.
 func (s *Server) Status(out *medlarv1.StatusResponse) {
 	s.mu.Lock()
--- a/internal/telemetry/server.go
+++ b/internal/telemetry/server.go
@@ -38,8 +38,16 @@
 	return s
 }
 
-// Serve answers until Close is called.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+// Listen returns a server that answers on an address until Close is called.
+func Listen(proc *Process, addr string, status StatusFunc) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := NewServer(proc, status)
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
 
 // Close ends Serve.
 func (s *Server) Close() error { return s.http.Close() }
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -23,4 +23,5 @@
 	KindVMView       Kind = 16
 	KindLeafFacts    Kind = 17
 	KindBeginSubmit  Kind = 18
+	KindHeartbeat    Kind = 19
 )
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -157,6 +157,11 @@
 	return nil
 }
 
+// Forward sends a message of another peer on. Like Notify, it may drop it.
+func (p *Peer) Forward(env *Envelope) {
+	p.post(&Envelope{Kind: env.Kind, Body: env.Body})
+}
+
 // Reply answers a request. A reply to a closed connection is dropped.
 func (p *Peer) Reply(request *Envelope, kind Kind, body any) error {
 	raw, err := EncodeBody(body)
