Add admission by class with deadline-aware load shedding

Cause: one entry process needs to order queries by class, refuse what can no longer finish, and bound its queue.

A lower priority number goes first, then the earliest deadline. Every 16th admission that would pass a waiting lower priority goes to the lower priority admitted longest ago. A full queue sheds the worst item of the lowest priority that holds more than max(1, MaxQueued/16) places: without that share a flood of the highest priority sheds every lower item before its turn.

Ruled out: a global oldest-first turn, which lets one lower class starve another; per-class queues of fixed size, which waste places.

--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,226 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+)
+
+const ms = time.Millisecond
+
+type step struct {
+	at   time.Duration
+	ev   Event
+	want []Action
+}
+
+func arrive(id uint64, priority int, deadline time.Duration) Arrive {
+	return Arrive{ID: id, Priority: priority, Deadline: deadline, Expected: 10 * ms}
+}
+
+// Each row guards against the fault that it names.
+func TestDecisions(t *testing.T) {
+	rows := map[string]struct {
+		config Config
+		steps  []step
+	}{
+		"a later deadline or a lower class goes first": {Config{1, 9}, []step{
+			{0, arrive(1, 0, 100*ms), []Action{Admit{1}}},
+			{0, arrive(2, 1, 50*ms), nil},
+			{0, arrive(3, 0, 90*ms), nil},
+			{0, arrive(4, 0, 80*ms), nil},
+			{1, Done{1}, []Action{Admit{4}}},
+			{2, Done{4}, []Action{Admit{3}}},
+			{3, Done{3}, []Action{Admit{2}}},
+		}},
+		"a query starts too late to finish": {Config{1, 9}, []step{
+			{0, arrive(1, 0, 100*ms), []Action{Admit{1}}},
+			{0, arrive(2, 0, 50*ms), nil},
+			{0, arrive(3, 0, 60*ms), nil},
+			{40*ms + 1, Done{1}, []Action{Refuse{2, errs.ReasonDeadline}, Admit{3}}},
+			{0, arrive(4, 0, 10*ms-1), []Action{Refuse{4, errs.ReasonDeadline}}},
+		}},
+		"a full queue sheds a better item than the worst": {Config{1, 2}, []step{
+			{0, arrive(1, 0, 100*ms), []Action{Admit{1}}},
+			{0, arrive(2, 0, 90*ms), nil},
+			{0, arrive(3, 0, 80*ms), nil},
+			{0, arrive(4, 0, 95*ms), []Action{Refuse{4, errs.ReasonOverloaded}}},
+			{0, arrive(5, 0, 70*ms), []Action{Refuse{2, errs.ReasonOverloaded}}},
+		}},
+		"queue of one keeps a lower class against a higher one": {Config{1, 1}, []step{
+			{0, arrive(1, 0, 100*ms), []Action{Admit{1}}},
+			{0, arrive(2, 5, 50*ms), nil},
+			{0, arrive(3, 0, 90*ms), []Action{Refuse{2, errs.ReasonOverloaded}}},
+			{0, arrive(4, 5, 50*ms), []Action{Refuse{4, errs.ReasonOverloaded}}},
+		}},
+		"lowered capacity still admits": {Config{2, 9}, []step{
+			{0, arrive(1, 0, 100*ms), []Action{Admit{1}}},
+			{0, arrive(2, 0, 100*ms), []Action{Admit{2}}},
+			{0, SetCapacity{1}, nil},
+			{0, arrive(3, 0, 100*ms), nil},
+			{0, Done{1}, nil},
+			{0, Done{2}, []Action{Admit{3}}},
+			{0, SetCapacity{-1}, nil},
+			{0, arrive(4, 0, 100*ms), nil},
+			{0, SetCapacity{2}, []Action{Admit{4}}},
+		}},
+		"cancel leaves a query undecided or decides twice": {Config{1, 9}, []step{
+			{0, arrive(1, 0, 100*ms), []Action{Admit{1}}},
+			{0, arrive(2, 0, 100*ms), nil},
+			{0, Cancel{2}, []Action{Refuse{2, errs.ReasonCancelled}}},
+			{0, Cancel{2}, nil},
+			{0, Cancel{1}, nil},
+			{0, Done{2}, nil},
+			{0, arrive(1, 0, 100*ms), nil},
+			{0, Done{1}, nil},
+		}},
+		"no queue at all": {Config{1, 0}, []step{
+			{0, arrive(1, 0, 100*ms), []Action{Admit{1}}},
+			{0, arrive(2, 0, 100*ms), []Action{Refuse{2, errs.ReasonOverloaded}}},
+		}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			q := New(row.config)
+			for i, s := range row.steps {
+				assert.DeepEqual(t, q.Step(s.at, s.ev), s.want)
+				assert.Assert(t, q.Waiting() <= max(row.config.MaxQueued, 0), "step %d", i)
+			}
+		})
+	}
+}
+
+// Guards against a wake that comes before the query is late, which would spin,
+// or so late that the refusal is held up.
+func TestNextWakeRefusesTheLateQuery(t *testing.T) {
+	q := New(Config{MaxRunning: 0, MaxQueued: 5})
+	q.Step(0, arrive(1, 0, 50*ms))
+	at, ok := q.NextWake(0)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(q.Step(at-1, Wake{})), 0)
+	assert.DeepEqual(t, q.Step(at, Wake{}), []Action{Refuse{1, errs.ReasonDeadline}})
+	_, ok = q.NextWake(at)
+	assert.Assert(t, !ok)
+}
+
+// Guards against lower classes that starve while the highest floods the queue:
+// each gets an admission in every lowerTurn * (classes - 1), and the highest
+// keeps at least 15 in 16.
+func TestLowerClassesGetTheirTurnInAFlood(t *testing.T) {
+	const classes, admissions = 4, 480
+	for _, queued := range []int{classes, 64, 500} {
+		t.Run(fmt.Sprint(queued), func(t *testing.T) {
+			q := New(Config{MaxRunning: 1, MaxQueued: queued})
+			id, running, counts, class := uint64(0), uint64(0), map[int]int{}, map[uint64]int{}
+			last := map[int]int{}
+			n := 0
+			for range 2 * admissions {
+				for p := range classes {
+					for range 1 + 10*(classes-1-p) {
+						id++
+						class[id] = p
+						q.Step(0, arrive(id, p, time.Second+time.Duration(id)))
+					}
+				}
+				running = max(running, 1)
+				for _, a := range q.Step(0, Done{running}) {
+					if a, ok := a.(Admit); ok {
+						n, running = n+1, a.ID
+						last[class[a.ID]], counts[class[a.ID]] = n, counts[class[a.ID]]+1
+					}
+				}
+				for p := 1; p < classes; p++ {
+					assert.Assert(t, n-last[p] <= lowerTurn*(classes-1), "class %d waited %d", p, n-last[p])
+				}
+			}
+			assert.Equal(t, n, 2*admissions)
+			assert.Assert(t, counts[0] >= 2*admissions*15/16, "%v", counts)
+		})
+	}
+}
+
+// Guards the three rules that hold for every sequence of events: never more
+// running than the capacity at an admission, one decision for each arrival, and
+// no admission that cannot meet its deadline.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(0, 4).Draw(t, "running")
+		queued := rapid.IntRange(0, 6).Draw(t, "queued")
+		q := New(Config{MaxRunning: capacity, MaxQueued: queued})
+		arrived, decided, running := map[uint64]Arrive{}, map[uint64]bool{}, map[uint64]bool{}
+		now := time.Duration(0)
+		do := func(ev Event) {
+			for _, a := range q.Step(now, ev) {
+				var id uint64
+				switch a := a.(type) {
+				case Admit:
+					id = a.ID
+					running[id] = true
+					if len(running) > capacity {
+						t.Fatalf("%d run, capacity %d", len(running), capacity)
+					}
+					if in := arrived[id]; now+in.Expected > in.Deadline {
+						t.Fatalf("admitted %+v at %v", in, now)
+					}
+				case Refuse:
+					id = a.ID
+				}
+				if decided[id] {
+					t.Fatalf("second decision on %d", id)
+				}
+				decided[id] = true
+			}
+			if q.Waiting() > queued || len(arrived)-len(decided) != q.Waiting() {
+				t.Fatalf("%d arrived, %d decided, %d wait of %d", len(arrived), len(decided), q.Waiting(), queued)
+			}
+		}
+		id := rapid.Uint64Range(1, 40)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				a := Arrive{
+					ID: uint64(len(arrived) + 1), Priority: rapid.IntRange(-1, 3).Draw(t, "priority"),
+					Deadline: now + time.Duration(rapid.IntRange(-5, 60).Draw(t, "in")),
+					Expected: time.Duration(rapid.IntRange(0, 30).Draw(t, "expected")),
+				}
+				arrived[a.ID] = a
+				do(a)
+			},
+			"done":     func(t *rapid.T) { i := id.Draw(t, "id"); delete(running, i); do(Done{i}) },
+			"cancel":   func(t *rapid.T) { do(Cancel{id.Draw(t, "id")}) },
+			"capacity": func(t *rapid.T) { capacity = rapid.IntRange(0, 4).Draw(t, "n"); do(SetCapacity{capacity}) },
+			"wake":     func(t *rapid.T) { now += time.Duration(rapid.IntRange(0, 20).Draw(t, "by")); do(Wake{}) },
+		})
+		now += time.Hour
+		do(Wake{})
+		if len(decided) != len(arrived) {
+			t.Fatalf("%d of %d decided in the end", len(decided), len(arrived))
+		}
+	})
+}
+
+func BenchmarkArriveAdmitDone(b *testing.B) {
+	for _, waiting := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			q := New(Config{MaxRunning: 1, MaxQueued: 2000})
+			id := uint64(0)
+			for id = range uint64(waiting + 1) {
+				q.Step(0, arrive(id+1, int(id%3), time.Hour+time.Duration(id)))
+			}
+			id++
+			q.Step(0, Done{1})
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				q.Step(0, arrive(id, int(id%3), time.Hour+time.Duration(id)))
+				for r := range q.running {
+					q.Step(0, Done{r})
+				}
+			}
+		})
+	}
+}
