--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
@@ -14,24 +13,11 @@
 // policy holds what one entry decides over all its queries: admission, the
 // budget of hedges and retries, and quarantine. It is safe for concurrent use.
 type policy struct {
-	proc  *telemetry.Process
-	slots chan struct{}
+	*admitter
 }
 
 func newPolicy(proc *telemetry.Process, cfg Config) *policy {
-	return &policy{proc: proc, slots: make(chan struct{}, cfg.MaxQueries)}
-}
-
-func (p *policy) run(ctx context.Context) { <-ctx.Done() }
-
-// admit waits until a query of a class may run. The returned function ends it.
-func (p *policy) admit(ctx context.Context, class *topology.Class, _ time.Duration) (func(), *errs.Error) {
-	select {
-	case p.slots <- struct{}{}:
-		return func() { <-p.slots }, nil
-	case <-ctx.Done():
-		return nil, errs.New(errs.StepAdmission, p.proc.Name(), errs.ReasonOverloaded, true, "class %q waited too long", class.ID)
-	}
+	return &policy{admitter: newAdmitter(proc, cfg.MaxQueries)}
 }
 
 // screen refuses a quarantined query and says whether it needs a canary.
@@ -50,3 +36,6 @@
 
 // fact takes what another VM learned.
 func (p *policy) fact(*wire.Envelope) {}
+
+// expected is how long a query of a class takes, for admission.
+func (p *policy) expected(class *topology.Class) time.Duration { return class.LatencyTarget / 4 }
--- /dev/null
+++ b/internal/harness/cluster.go
@@ -0,0 +1,142 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/medlarswitch/medlarswitch/internal/platform"
+	"github.com/medlarswitch/medlarswitch/internal/standin"
+)
+
+// Roles of the processes of a VM.
+const (
+	RoleAgent = "agent"
+	RoleRelay = "relay"
+	RoleEntry = "entry"
+)
+
+// roles is the order in which the processes of a VM are started.
+var roles = []string{RoleAgent, RoleRelay, RoleEntry}
+
+// Options describe a cluster.
+type Options struct {
+	// Bin is the directory of the programs.
+	Bin string
+	// Dir takes settings and logs.
+	Dir        string
+	User       string
+	VMsPerZone int
+}
+
+// Cluster is a running installation.
+type Cluster struct {
+	Fleet *standin.Fleet
+	opts  Options
+	// Platform reads and writes the store as the operations team.
+	Platform *platform.Client
+	standin  *Process
+	procs    map[string]*Process
+	http     *http.Client
+}
+
+// Start runs the stand-ins and all processes. Clusters of one machine use
+// different loopback networks, so that they do not meet.
+func Start(ctx context.Context, opts Options) (*Cluster, error) {
+	fleet, err := standin.NewFleet(opts.User, freeNet(), opts.VMsPerZone)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{
+		Fleet: fleet, opts: opts, procs: make(map[string]*Process),
+		Platform: platform.NewClient(fleet.PlatformURL(), "operations"),
+		http:     &http.Client{Timeout: 5 * time.Second},
+	}
+	if err := c.start(ctx); err != nil {
+		c.Kill()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+	c.standin, err = startProcess(c.opts.Dir, "standin", filepath.Join(c.opts.Bin, "medlar-standin"),
+		"--user", c.opts.User, "--net", c.Fleet.Net, "--vms-per-zone", fmt.Sprint(c.opts.VMsPerZone))
+	if err != nil {
+		return err
+	}
+	if err := c.waitHTTP(ctx, c.Fleet.ControlURL()+"/store"); err != nil {
+		return err
+	}
+	for vm := range c.Fleet.VMs {
+		for _, role := range roles {
+			if err := c.StartProcess(vm, role); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartProcess starts a process of a VM, counted from 0.
+func (c *Cluster) StartProcess(vm int, role string) error {
+	name := processName(vm, role)
+	path := filepath.Join(c.opts.Dir, name+".toml")
+	if err := os.WriteFile(path, []byte(c.settings(vm, role)), 0o644); err != nil {
+		return err
+	}
+	p, err := startProcess(c.opts.Dir, name, filepath.Join(c.opts.Bin, "medlar-"+role), "--settings", path)
+	if err != nil {
+		return err
+	}
+	c.procs[name] = p
+	return nil
+}
+
+// Process returns a process of a VM.
+func (c *Cluster) Process(vm int, role string) *Process { return c.procs[processName(vm, role)] }
+
+// Stop stops all processes gracefully, then the stand-ins.
+func (c *Cluster) Stop() error {
+	var g errgroup.Group
+	for _, p := range c.procs {
+		if p.Running() {
+			g.Go(p.Stop)
+		}
+	}
+	err := g.Wait()
+	if stopErr := c.standin.Stop(); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// Kill ends all processes at once. It may follow Stop.
+func (c *Cluster) Kill() {
+	for _, p := range c.procs {
+		if p.Running() {
+			p.Kill()
+		}
+	}
+	if c.standin != nil && c.standin.Running() {
+		c.standin.Kill()
+	}
+}
+
+// Log returns what a process has written.
+func (c *Cluster) Log(vm int, role string) string {
+	text, err := os.ReadFile(filepath.Join(c.opts.Dir, processName(vm, role)+".log"))
+	if err != nil {
+		return errors.Wrap(err, "read log").Error()
+	}
+	return string(text)
+}
+
+func processName(vm int, role string) string { return fmt.Sprintf("vm-%d-%s", vm+1, role) }
--- /dev/null
+++ b/internal/harness/edit.go
@@ -0,0 +1,40 @@
+package harness
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"os"
+
+	"github.com/medlarswitch/medlarswitch/internal/standin"
+)
+
+// Ctl runs medlarctl as a team and returns its output.
+func (c *Cluster) Ctl(ctx context.Context, team string, args ...string) (string, error) {
+	args = append([]string{"--platform", c.Fleet.PlatformURL(), "--team", team}, args...)
+	out, err := exec.CommandContext(ctx, filepath.Join(c.opts.Bin, "medlarctl"), args...).CombinedOutput()
+	return string(out), errors.Wrapf(err, "medlarctl %s: %s", strings.Join(args, " "), out)
+}
+
+// PutSection edits a section with medlarctl.
+func (c *Cluster) PutSection(ctx context.Context, s standin.Section) (string, error) {
+	path := filepath.Join(c.opts.Dir, s.Name+".section.toml")
+	if err := os.WriteFile(path, []byte(s.Text), 0o644); err != nil {
+		return "", err
+	}
+	return c.Ctl(ctx, s.Team, "section", "put", s.Name, path)
+}
+
+// PutAll makes the first edit of every section.
+func (c *Cluster) PutAll(ctx context.Context) error {
+	for _, s := range c.Fleet.Sections {
+		if _, err := c.PutSection(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
