--- /dev/null
+++ b/internal/budget/bucket.go
@@ -0,0 +1,10 @@
+package budget
+
+// bucket holds tokens up to a limit.
+type bucket struct{ tokens float64 }
+
+func (b *bucket) earn(tokens, limit float64) { b.tokens = min(b.tokens+tokens, limit) }
+
+func (b *bucket) has() bool { return b.tokens >= 1 }
+
+func (b *bucket) spend() { b.tokens-- }
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,91 @@
+package budget
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// HedgePart is the part of the budget that hedges may use. The rest stays
+	// for retries, without which a refused attempt costs coverage.
+	HedgePart = 0.8
+
+	// recentWindow is the time constant of the load that unspent tokens may
+	// stand for. Tokens of an earlier, higher load must not hit a fleet whose
+	// load has fallen since.
+	recentWindow = 10 * time.Second
+
+	// decayStep limits how often the recent load is aged, since each ageing
+	// computes an exponential.
+	decayStep = 100 * time.Millisecond
+)
+
+// Config is the size of a budget.
+type Config struct {
+	// Share is the extra load as a share of first attempts, 0.05 for 5%.
+	Share float64
+	// Burst is how many tokens may be saved. Below 1 nothing can be spent.
+	Burst float64
+}
+
+// Budget is one budget that hedges and retries share. It starts empty, so that
+// a restart of many processes grants no extra load. It is not safe for
+// concurrent use.
+type Budget struct {
+	config Config
+	all    bucket
+	hedges bucket
+	// recent is the number of first attempts, aged by recentWindow.
+	recent float64
+	aged   time.Duration
+}
+
+// New returns an empty budget.
+func New(config Config) *Budget { return &Budget{config: config} }
+
+// OnFirst counts a first attempt at an upstream.
+func (b *Budget) OnFirst(now time.Duration) {
+	b.age(now)
+	b.recent++
+	b.earn(b.config.Share)
+}
+
+// TrySpend takes the token of one extra attempt and reports whether there was
+// one.
+func (b *Budget) TrySpend(now time.Duration, kind Kind) bool {
+	b.age(now)
+	if !b.all.has() || kind == KindHedge && !b.hedges.has() {
+		return false
+	}
+	b.all.spend()
+	if kind == KindHedge {
+		b.hedges.spend()
+	}
+	return true
+}
+
+// Tokens returns how many extra attempts could be spent now, for metrics.
+func (b *Budget) Tokens() float64 { return b.all.tokens }
+
+func (b *Budget) earn(tokens float64) {
+	b.all.earn(tokens, b.limit(1))
+	b.hedges.earn(tokens*HedgePart, b.limit(HedgePart))
+}
+
+// limit returns how many tokens a bucket that gets a part of the budget may
+// hold: what recent load has earned, at least one so that little load can save
+// up for an attempt, at most the burst.
+func (b *Budget) limit(part float64) float64 {
+	earned := b.config.Share * b.recent * part
+	return min(max(earned, 1), max(b.config.Burst*part, min(b.config.Burst, 1)))
+}
+
+func (b *Budget) age(now time.Duration) {
+	past := now - b.aged
+	if past < decayStep {
+		return
+	}
+	b.aged = now
+	b.recent *= math.Exp(-float64(past) / float64(recentWindow))
+	b.earn(0)
+}
