--- /dev/null
+++ b/internal/editor/editor.go
@@ -0,0 +1,170 @@
+package editor
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/medlarswitch/medlarswitch/internal/configedit"
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
+	"github.com/medlarswitch/medlarswitch/internal/platform"
+	"github.com/medlarswitch/medlarswitch/internal/servicedoc"
+)
+
+const (
+	// maxRounds bounds how often an edit is tried on top of a newer manifest.
+	maxRounds = 20
+	// settleTimeout bounds how long an edit without answer is looked up.
+	settleTimeout = 10 * time.Second
+	// maxPause bounds the random pause between rounds, so that operators that
+	// edit at the same time do not collide again and again.
+	maxPause = 200 * time.Millisecond
+)
+
+// ErrUnknown means that it cannot be told whether the edit was accepted.
+var ErrUnknown = errors.New("it is not known whether the edit was accepted: look at 'medlarctl section history'")
+
+// Editor edits the service document as one team.
+type Editor struct {
+	client *platform.Client
+	team   string
+}
+
+// New returns an editor. The client must have the team's credentials.
+func New(client *platform.Client, team string) *Editor {
+	return &Editor{client: client, team: team}
+}
+
+// Document is one generation of the service document with its texts.
+type Document struct {
+	configedit.Base
+	// version is the store's version of the manifest.
+	version uint64
+}
+
+// Read reads the current document. Before the first edit it is empty.
+func (e *Editor) Read(ctx context.Context) (Document, error) {
+	object, err := e.client.Get(ctx, platform.KeyManifest)
+	if err != nil || object.Version == 0 {
+		return Document{}, err
+	}
+	m, err := confsync.DecodeManifest(object.Value)
+	if err != nil {
+		return Document{}, err
+	}
+	doc := Document{Base: configedit.Base{Manifest: m}, version: object.Version}
+	for _, ref := range m.Sections {
+		text, err := e.client.Get(ctx, platform.KeySection(ref.Name, ref.EditID))
+		if err != nil {
+			return Document{}, err
+		}
+		doc.Sections = append(doc.Sections, servicedoc.Section{Name: ref.Name, Text: text.Value})
+	}
+	return doc, nil
+}
+
+// NewEdit returns an edit of a section on top of a document.
+func (e *Editor) NewEdit(doc Document, section string, text []byte) configedit.Edit {
+	current, _ := doc.Manifest.Find(section)
+	return configedit.Edit{
+		ID: strconv.FormatUint(rand.Uint64(), 36), Section: section, Team: e.team,
+		From: current.EditID, Text: text, At: time.Now().UnixMilli(),
+	}
+}
+
+// Apply makes an edit and returns the generation that accepted it. A rejected
+// edit gives servicedoc.Problems and changes nothing.
+func (e *Editor) Apply(ctx context.Context, doc Document, edit configedit.Edit) (uint64, error) {
+	for range maxRounds {
+		next, problems := configedit.Decide(doc.Base, edit)
+		if len(problems) > 0 {
+			return 0, problems
+		}
+		if err := e.putSection(ctx, edit); err != nil {
+			return 0, err
+		}
+		outcome, err := e.putManifest(ctx, doc, next, edit)
+		if err != nil {
+			return 0, err
+		}
+		switch outcome.Verdict {
+		case configedit.Accepted:
+			return outcome.Generation, nil
+		case configedit.Conflict:
+			return 0, errors.Errorf("section %q was changed by team %q in generation %d after you read it: read it again", edit.Section, outcome.By.Team, outcome.By.Generation)
+		case configedit.Unknown:
+			return 0, ErrUnknown
+		}
+		pause(ctx)
+		if doc, err = e.Read(ctx); err != nil {
+			return 0, err
+		}
+	}
+	return 0, errors.Errorf("other edits came first %d times: try again", maxRounds)
+}
+
+// putSection writes the immutable version of the section. Its key is new, so a
+// conflict means that an earlier try was applied without an answer.
+func (e *Editor) putSection(ctx context.Context, edit configedit.Edit) error {
+	key := platform.KeySection(edit.Section, edit.ID)
+	_, err := e.client.Put(ctx, key, edit.Text, 0)
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	object, readErr := e.client.Get(ctx, key)
+	if readErr == nil && object.Version != 0 {
+		return nil
+	}
+	return err
+}
+
+// putManifest makes the conditional update that accepts the edit. Without a
+// clear answer it reads the manifest back.
+func (e *Editor) putManifest(ctx context.Context, doc Document, next confsync.Manifest, edit configedit.Edit) (configedit.Outcome, error) {
+	value, err := next.Encode()
+	if err != nil {
+		return configedit.Outcome{}, err
+	}
+	_, err = e.client.Put(ctx, platform.KeyManifest, value, doc.version)
+	if err == nil {
+		return configedit.Outcome{Verdict: configedit.Accepted, Generation: next.Generation}, nil
+	}
+	return e.settle(ctx, doc, edit)
+}
+
+// settle finds out what became of an edit whose update failed.
+func (e *Editor) settle(ctx context.Context, doc Document, edit configedit.Edit) (configedit.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for {
+		object, err := e.client.Get(ctx, platform.KeyManifest)
+		if err == nil {
+			return resolve(doc, object, edit)
+		}
+		if ctx.Err() != nil {
+			return configedit.Outcome{}, errors.WithMessage(ErrUnknown, err.Error())
+		}
+		pause(ctx)
+	}
+}
+
+func resolve(doc Document, object platform.Object, edit configedit.Edit) (configedit.Outcome, error) {
+	var current confsync.Manifest
+	if object.Version != 0 {
+		var err error
+		if current, err = confsync.DecodeManifest(object.Value); err != nil {
+			return configedit.Outcome{}, err
+		}
+	}
+	return configedit.Resolve(doc.Manifest, current, edit), nil
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-time.After(rand.N(maxPause)):
+	case <-ctx.Done():
+	}
+}
--- a/internal/entry/admitter.go
+++ b/internal/entry/admitter.go
@@ -17,7 +17,7 @@
 	proc *telemetry.Process
 	wake chan struct{}
 
-	mu      sync.Mutex
+	queueMu sync.Mutex
 	queue   *admission.Queue
 	nextID  uint64
 	waiting map[uint64]chan errs.Reason
@@ -62,8 +62,8 @@
 }
 
 func (a *admitter) arrive(class *topology.Class, expected time.Duration, decision chan errs.Reason) uint64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.queueMu.Lock()
+	defer a.queueMu.Unlock()
 	a.nextID++
 	id := a.nextID
 	a.waiting[id] = decision
@@ -75,8 +75,8 @@
 }
 
 func (a *admitter) step(ev admission.Event) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.queueMu.Lock()
+	defer a.queueMu.Unlock()
 	a.apply(a.queue.Step(a.proc.Now(), ev))
 }
 
@@ -121,8 +121,8 @@
 }
 
 func (a *admitter) untilWake() time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.queueMu.Lock()
+	defer a.queueMu.Unlock()
 	now := a.proc.Now()
 	at, ok := a.queue.NextWake(now)
 	if !ok {
--- a/internal/entry/query_run.go
+++ b/internal/entry/query_run.go
@@ -140,9 +140,16 @@
 		Priority: r.class.Priority, Text: r.text,
 		StartBy: a.StartBy - now, Deadline: r.began + r.class.Deadline - now,
 	}
+	first := a.Kind == query.KindFirst || a.Kind == query.KindCanary
+	if first {
+		r.server.policy.sent()
+	}
 	go func() {
 		defer cancel()
 		reply, err := r.server.callLeaf(callCtx, &req, a.Shard, a.Snapshot)
+		if first {
+			r.server.policy.observe(a.Shard, r.server.proc.Now()-now)
+		}
 		if err == nil {
 			at.hits = reply.Hits
 		}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -27,12 +27,12 @@
 func newValdivia(net string, vmsPerZone int) *Fleet {
 	f := &Fleet{Net: net, Region: "south", Zones: []string{"valdivia", "osorno", "puerto-montt"}}
 	f.addVMs(vmsPerZone)
+	f.addZones()
 	f.addOwners(map[string]string{
 		"owners": "operations", "zones": "operations", "classes": "operations",
 		"index.enrolment": "courses", "index.inventory": "workshop",
 		"index.roster": "courses", "index.billing": "office",
 	}, []string{"owners", "zones", "classes", "index.enrolment", "index.inventory", "index.roster", "index.billing"})
-	f.addZones()
 	f.addIndex(IndexSize{Name: "enrolment", Team: "courses", Shards: 20, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
 	f.addIndex(IndexSize{Name: "inventory", Team: "workshop", Shards: 30, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
 	f.addIndex(IndexSize{Name: "roster", Team: "courses", Shards: 1, LeavesPerShard: 10, Slots: 2, Connections: 110, Latency: lookupLatency})
@@ -44,12 +44,12 @@
 func newKelani(net string, vmsPerZone int) *Fleet {
 	f := &Fleet{Net: net, Region: "western", Zones: []string{"colombo", "negombo", "kalutara", "gampaha"}}
 	f.addVMs(vmsPerZone)
+	f.addZones()
 	f.addOwners(map[string]string{
 		"owners": "operations", "zones": "operations", "classes": "operations",
 		"index.search": "drivers", "index.ledger": "stock",
 		"index.portal": "shops", "index.reports": "desk",
 	}, []string{"owners", "zones", "classes", "index.search", "index.ledger", "index.portal", "index.reports"})
-	f.addZones()
 	f.addIndex(IndexSize{Name: "search", Team: "drivers", Shards: 20, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
 	f.addIndex(IndexSize{Name: "ledger", Team: "stock", Shards: 30, LeavesPerShard: 2, Slots: 2, Connections: 25, Latency: searchLatency})
 	f.addIndex(IndexSize{Name: "portal", Team: "shops", Shards: 1, LeavesPerShard: 10, Slots: 2, Connections: 35, Latency: lookupLatency})
