Add the unanimous lease for cold leaves and repair its protocol

Cause: a cold leaf bears one request, so the right to send must be exclusive over relays with different VM lists.

- The wall-clock difference used up the whole lease margin, so start-by is now the lease end less clockMargin.
- A promise did not bar its giver from holding, so late answers to the giver's own request could complete a second lease.
- A VM alone in an old list can hold without a newer VM, die with a request in the leaf and be dropped: {Z} v5, {Z,X} v6, {X} v7.
X waits fenceDelay after the drop and after the first list that names it.
- E evicts D, E is replaced by M: D on {D} and M on {D,M} both held.
An eviction counts only while its evictor is listed and not evicted.
- A third VM's promise to a relay that gave way blocked the leaf for another fenceDelay; promises are now released.

Ruled out: a round that counts only if all peers answer it, since one lost message voids it; the answer time per leaf and peer is kept instead.

--- /dev/null
+++ b/internal/coldlease/relay_test.go
@@ -0,0 +1,202 @@
+package coldlease
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/leafqueue"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/warmup"
+)
+
+// relay is one VM of the simulation: the three decision packages behind the
+// shell rules that the package comment states.
+type relay struct {
+	s           *sim
+	vm          topology.VMID
+	boot        topology.BootID
+	alive       bool
+	wanted      bool
+	gone        bool
+	pausedUntil time.Duration
+	startedAt   time.Duration
+	offset      time.Duration
+	rate        float64
+	wall        time.Duration
+	list        int
+	machine     *Machine
+	tracker     *warmup.Tracker
+	queue       *leafqueue.Queue
+	nextID      uint64
+	open        map[uint64]bool
+	wakeAt      time.Duration
+}
+
+func refusal() warmup.Event { return warmup.Refused{} }
+func (s *sim) reply(d time.Duration) warmup.Event {
+	return warmup.Replied{Latency: d, Boot: s.leafBoot}
+}
+func (r *relay) name() string { return fmt.Sprint(r.vm, "/", r.boot) }
+
+// clock is the monotonic clock of the process.
+func (r *relay) clock() time.Duration {
+	return r.offset + time.Duration(float64(r.s.now-r.startedAt)*r.rate)
+}
+
+// in runs f when the process's clock shows a time, unless the boot has ended.
+func (r *relay) in(clock time.Duration, f func()) {
+	boot := r.boot
+	d := time.Duration(float64(clock-r.clock())/r.rate) + time.Microsecond
+	r.s.after(max(d, 0), func() { r.whenRunning(boot, f) })
+}
+
+// whenRunning runs f now or after the pause, if the boot still runs then.
+func (r *relay) whenRunning(boot topology.BootID, f func()) {
+	switch {
+	case !r.alive || r.boot != boot:
+	case r.s.now < r.pausedUntil:
+		r.s.after(r.pausedUntil-r.s.now, func() { r.whenRunning(boot, f) })
+	default:
+		f()
+	}
+}
+
+func (r *relay) start() {
+	if r.gone || r.alive {
+		return
+	}
+	r.s.boots++
+	r.alive, r.boot, r.startedAt, r.pausedUntil = true, r.s.boots, r.s.now, 0
+	r.offset = r.s.random(time.Hour)
+	r.rate = 0.99 + 0.02*r.s.rng.Float64()
+	r.wall = r.s.random(498*ms) - 249*ms
+	r.machine = New(Config{Self: r.vm, Boot: r.boot, Term: testTerm, Margin: testSlack, StartedAt: r.clock()})
+	r.tracker = warmup.New(warmup.Config{Slots: 1})
+	r.queue = leafqueue.New(leafqueue.Config{MaxQueued: 2})
+	r.open, r.wakeAt = map[uint64]bool{}, 0
+	r.readList()
+	r.readStore()
+	if r.wanted {
+		r.step(Want{Leaf: testLeaf, RunLimit: r.s.runLimit})
+	}
+}
+
+func (r *relay) setWanted(wanted bool) {
+	r.wanted = wanted
+	if !wanted {
+		r.step(Unwant{Leaf: testLeaf})
+		return
+	}
+	r.step(Want{Leaf: testLeaf, RunLimit: r.s.runLimit})
+}
+
+// readList moves to a list that is not older than the last one.
+func (r *relay) readList() {
+	r.list += r.s.rng.Intn(len(r.s.lists) - r.list)
+	r.step(ViewChanged{Version: uint64(r.list + 1), VMs: r.s.lists[r.list]})
+	r.in(r.clock()+r.s.random(2*time.Second), r.readList)
+}
+
+func (r *relay) readStore() {
+	r.step(EvictionsRead{Evictions: r.s.evictions, Version: r.s.evictionsVersion})
+	if r.machine.Evicted() {
+		r.alive = false
+		r.s.after(0, r.start)
+		return
+	}
+	r.in(r.clock()+r.s.random(2*time.Second), r.readStore)
+}
+
+func (r *relay) step(ev Event) {
+	for _, a := range r.machine.Step(r.clock(), ev) {
+		switch a := a.(type) {
+		case SendRequest:
+			ev := RequestReceived{From: r.vm, Boot: r.boot, Request: a.Request}
+			r.s.send(r.vm, a.To, func(to *relay) { to.step(ev) })
+		case SendAck:
+			ev := AckReceived{From: r.vm, Boot: r.boot, Ack: a.Ack}
+			r.s.send(r.vm, a.To, func(to *relay) { to.step(ev) })
+		case ProposeEviction:
+			r.s.propose(r, a)
+		}
+	}
+	r.feed()
+	r.sleep()
+}
+
+// feed keeps requests waiting, so that each chance to send is used.
+func (r *relay) feed() {
+	r.queueStep(leafqueue.Tick{})
+	for r.wanted && r.queue.Queued() < 2 {
+		r.nextID++
+		r.queueStep(leafqueue.Add{ID: r.nextID, StartBy: r.clock() + 5*time.Second})
+	}
+}
+
+// queueStep refreshes the limit before the event, as the shell has to.
+func (r *relay) queueStep(ev leafqueue.Event) {
+	for _, e := range []leafqueue.Event{r.limit(), ev} {
+		for _, a := range r.queue.Step(r.clock(), e) {
+			if d, ok := a.(leafqueue.Dispatch); ok {
+				r.dispatch(d.ID)
+			}
+		}
+	}
+}
+
+func (r *relay) limit() leafqueue.SetLimit {
+	if _, ok := r.machine.Held(r.clock(), testLeaf); !ok {
+		return leafqueue.SetLimit{}
+	}
+	l := r.tracker.Limit(r.clock())
+	return leafqueue.SetLimit{InFlight: l.InFlight, NotBefore: l.NotBefore}
+}
+
+// dispatch writes a request to the leaf. The process may be paused between the
+// check and the write.
+func (r *relay) dispatch(id uint64) {
+	boot, now := r.boot, r.clock()
+	startBy, _ := r.machine.Held(now, testLeaf)
+	r.machine.Step(now, Dispatched{Leaf: testLeaf})
+	r.tracker.Step(now, warmup.Dispatched{})
+	r.open[id] = true
+	wallStartBy := r.s.now + r.wall + startBy - now
+	write := r.s.random(r.s.maxDelay)
+	if r.s.slow > 0 && r.s.rng.Intn(8) == 0 {
+		write = r.s.random(4 * time.Second)
+		if r.s.rng.Intn(2) == 0 {
+			r.pausedUntil = r.s.now + write
+		}
+	}
+	r.s.after(write, func() { r.s.arrive(r, boot, id, wallStartBy) })
+	r.in(r.machine.GoneBy(startBy, r.s.runLimit), func() { r.ended(id, warmup.TimedOut{}) })
+}
+
+func (r *relay) ended(id uint64, how warmup.Event) {
+	if !r.open[id] {
+		return
+	}
+	delete(r.open, id)
+	r.tracker.Step(r.clock(), how)
+	r.machine.Step(r.clock(), Ended{Leaf: testLeaf})
+	r.queueStep(leafqueue.Done{ID: id})
+	r.step(Tick{})
+}
+
+// sleep sets the timer for the next wake of the machine or the queue.
+func (r *relay) sleep() {
+	wake, ok := r.machine.NextWake(r.clock())
+	if q, more := r.queue.NextWake(r.clock()); more && (!ok || q < wake) {
+		wake, ok = q, true
+	}
+	if !ok || wake == r.wakeAt {
+		return
+	}
+	r.wakeAt = wake
+	r.in(wake, func() {
+		if r.wakeAt == wake {
+			r.wakeAt = 0
+			r.step(Tick{})
+		}
+	})
+}
--- /dev/null
+++ b/internal/coldlease/request.go
@@ -0,0 +1,38 @@
+package coldlease
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// Request is the message that asks a peer for its acknowledgement of leaves.
+type Request struct {
+	// Nonce rises with each request of a boot.
+	Nonce uint64 `msgpack:"n"`
+	// ListVersion is the VM list that the sender uses.
+	ListVersion uint64      `msgpack:"v"`
+	Leaves      []LeafAsked `msgpack:"l,omitempty"`
+	// Released are leaves for which the sender gives back all promises that
+	// were made for lower nonces.
+	Released []topology.LeafID `msgpack:"r,omitempty"`
+}
+
+// LeafAsked is one leaf of a request.
+type LeafAsked struct {
+	//lint:ignore U1000 the msgpack library reads the tag of this field
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Leaf topology.LeafID
+	// RunLimitMS is the run limit of the sender's requests in milliseconds,
+	// rounded up.
+	RunLimitMS uint32
+}
+
+func (l LeafAsked) runLimit() time.Duration {
+	return time.Duration(l.RunLimitMS) * time.Millisecond
+}
+
+func askFor(leaf topology.LeafID, runLimit time.Duration) LeafAsked {
+	return LeafAsked{Leaf: leaf, RunLimitMS: uint32((runLimit + time.Millisecond - 1) / time.Millisecond)}
+}
--- /dev/null
+++ b/internal/coldlease/rig_test.go
@@ -0,0 +1,82 @@
+package coldlease
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// rig drives the machine of VM b, whose leaf has a run limit of 1 s and thus a
+// fence of 3.5 s. Peers in answers acknowledge every request at once.
+type rig struct {
+	m       *Machine
+	now     time.Duration
+	answers string
+	sent    map[topology.VMID]Request
+	evicts  int
+}
+
+func newRig() *rig {
+	r := &rig{sent: map[topology.VMID]Request{}}
+	r.m = New(Config{Self: "b", Boot: 1, Term: testTerm, Margin: testSlack})
+	r.step(Want{Leaf: testLeaf, RunLimit: time.Second})
+	return r
+}
+
+func (r *rig) step(ev Event) (acked bool) {
+	for _, a := range r.m.Step(r.now, ev) {
+		switch a := a.(type) {
+		case SendRequest:
+			r.sent[a.To] = a.Request
+			for _, id := range r.answers {
+				if topology.VMID(id) == a.To {
+					r.ack(a.To, 1)
+				}
+			}
+		case SendAck:
+			acked = len(a.Leaves) > 0
+		case ProposeEviction:
+			r.evicts++
+		}
+	}
+	return acked
+}
+
+func (r *rig) ack(from topology.VMID, asker topology.BootID) {
+	r.step(AckReceived{From: from, Boot: 1, Ack: Ack{
+		Nonce: r.sent[from].Nonce, Asker: asker, ListVersion: 1, Leaves: []topology.LeafID{testLeaf}}})
+}
+
+// to lets time pass up to a time in milliseconds.
+func (r *rig) to(t int) *rig {
+	end := time.Duration(t) * ms
+	for {
+		wake, ok := r.m.NextWake(r.now)
+		if !ok || wake > end {
+			r.now = end
+			return r
+		}
+		r.now = wake
+		r.step(Tick{})
+	}
+}
+
+func (r *rig) view(version uint64, vms string) *rig {
+	ev := ViewChanged{Version: version}
+	for _, id := range vms {
+		ev.VMs = append(ev.VMs, topology.VMID(id))
+	}
+	r.step(ev)
+	return r
+}
+
+func (r *rig) answer(peers string) *rig { r.answers = peers; return r }
+
+func (r *rig) do(ev Event) *rig { r.step(ev); return r }
+
+func (r *rig) ask(from topology.VMID, boot topology.BootID, nonce uint64, runLimit time.Duration) bool {
+	return r.step(RequestReceived{From: from, Boot: boot, Request: Request{
+		Nonce: nonce, ListVersion: 1, Leaves: []LeafAsked{askFor(testLeaf, runLimit)}}})
+}
+
+func (r *rig) evict(list ...Eviction) *rig { return r.do(EvictionsRead{Evictions: list, Version: 1}) }
--- /dev/null
+++ b/internal/coldlease/sim_test.go
@@ -0,0 +1,206 @@
+package coldlease
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+const (
+	ms        = time.Millisecond
+	testTerm  = 2 * time.Second
+	testLeaf  = topology.LeafID("leaf")
+	testSlack = 500 * ms // Margin of all machines
+)
+
+// timer is an event of the simulation in true time.
+type timer struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type timers []timer
+
+func (h timers) Len() int { return len(h) }
+func (h timers) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timers) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timers) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// sim runs the relays of one zone and one cold leaf in virtual time. All
+// randomness besides the drawn faults comes from rng, so a seed repeats a run.
+type sim struct {
+	fail     func(format string, args ...any)
+	rng      *rand.Rand
+	now      time.Duration
+	seq      int
+	timers   timers
+	relays   []*relay
+	lists    [][]topology.VMID
+	cut      map[[2]topology.VMID]time.Duration
+	loss     float64
+	slow     float64
+	maxDelay time.Duration
+	runLimit time.Duration
+	boots    topology.BootID
+
+	evictions        []Eviction
+	evictionsVersion uint64
+
+	leafWall time.Duration
+	leafBoot uint64
+	replies  int
+	running  map[string]bool
+
+	starts, evicted, late int
+}
+
+func newSim(seed int64, fail func(string, ...any)) *sim {
+	return &sim{
+		fail: fail, rng: rand.New(rand.NewSource(seed)), leafBoot: 1, maxDelay: 20 * ms,
+		cut: map[[2]topology.VMID]time.Duration{}, running: map[string]bool{},
+	}
+}
+
+// random returns a duration up to limit.
+func (s *sim) random(limit time.Duration) time.Duration {
+	return time.Duration(s.rng.Int63n(int64(limit) + 1))
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.timers, timer{at: s.now + d, seq: s.seq, run: run})
+}
+
+func (s *sim) runUntil(end time.Duration) {
+	for len(s.timers) > 0 && s.timers[0].at <= end {
+		t := heap.Pop(&s.timers).(timer)
+		s.now = t.at
+		t.run()
+		s.checkHolders()
+	}
+	s.now = end
+}
+
+// checkHolders is stricter than the invariant: it also sees two holders that
+// happen to send nothing.
+func (s *sim) checkHolders() {
+	holder := ""
+	for _, r := range s.relays {
+		if !r.alive {
+			continue
+		}
+		if _, ok := r.machine.Held(r.clock(), testLeaf); !ok {
+			continue
+		}
+		if holder != "" {
+			s.fail("at %v %s and %s hold the lease", s.now, holder, r.name())
+		}
+		holder = r.name()
+	}
+}
+
+// addVM lists a VM and starts its relay.
+func (s *sim) addVM(startIn time.Duration) *relay {
+	r := &relay{s: s, vm: topology.VMID(fmt.Sprintf("vm-%02d", len(s.relays)))}
+	s.relays = append(s.relays, r)
+	var list []topology.VMID
+	if len(s.lists) > 0 {
+		list = s.lists[len(s.lists)-1]
+	}
+	s.lists = append(s.lists, append(slices.Clone(list), r.vm))
+	r.list = max(0, len(s.lists)-1-s.rng.Intn(3))
+	s.after(startIn, r.start)
+	return r
+}
+
+// dropVM removes a VM that is gone for good from the list.
+func (s *sim) dropVM(vm topology.VMID) {
+	list := slices.DeleteFunc(slices.Clone(s.lists[len(s.lists)-1]), func(id topology.VMID) bool { return id == vm })
+	s.lists = append(s.lists, list)
+}
+
+// send delivers a message to whatever boot runs on a VM then.
+func (s *sim) send(from, to topology.VMID, deliver func(r *relay)) {
+	copies := 1
+	if s.loss > 0 && s.rng.Float64() < 0.1 {
+		copies = 2
+	}
+	for range copies {
+		if s.now < s.cut[[2]topology.VMID{from, to}] || s.rng.Float64() < s.loss {
+			continue
+		}
+		delay := s.random(s.maxDelay)
+		if s.rng.Float64() < s.slow {
+			delay = s.random(5 * time.Second)
+		}
+		s.after(delay, func() {
+			for _, r := range s.relays {
+				if r.vm == to {
+					r.whenRunning(r.boot, func() { deliver(r) })
+				}
+			}
+		})
+	}
+}
+
+// propose applies an eviction as a conditional update.
+func (s *sim) propose(r *relay, p ProposeEviction) {
+	s.after(s.random(time.Second), func() {
+		if p.IfVersion != s.evictionsVersion {
+			return
+		}
+		s.evictionsVersion++
+		s.evictions = p.Evictions
+		s.evicted++
+		if s.rng.Intn(2) == 0 {
+			r.whenRunning(r.boot, r.readStore)
+		}
+	})
+}
+
+// arrive runs a request in the leaf, unless it comes after its start-by.
+func (s *sim) arrive(r *relay, boot topology.BootID, id uint64, startBy time.Duration) {
+	if s.now+s.leafWall > startBy {
+		s.late++
+		r.whenRunning(boot, func() { r.ended(id, refusal()) })
+		return
+	}
+	key := fmt.Sprint(r.vm, "/", boot, "/", id)
+	started := s.now
+	s.starts++
+	s.running[key] = true
+	if len(s.running) > 1 {
+		s.fail("at %v the cold leaf runs %d requests: %v", s.now, len(s.running), s.running)
+	}
+	took := s.random(s.runLimit)
+	if s.rng.Intn(3) == 0 {
+		took = s.runLimit
+	}
+	s.after(took, func() {
+		if !r.alive || r.boot != boot { // nobody cancels it
+			s.after(started+s.runLimit-s.now, func() { delete(s.running, key) })
+			return
+		}
+		delete(s.running, key)
+		s.replies++
+		if s.replies%8 == 0 { // stays cold: restarts before the ramp goes on
+			s.leafBoot++
+		}
+		if reply := s.reply(took); s.rng.Float64() >= s.loss {
+			s.after(s.random(s.maxDelay), func() { r.whenRunning(boot, func() { r.ended(id, reply) }) })
+		}
+	})
+}
--- /dev/null
+++ b/internal/coldlease/sweep.go
@@ -0,0 +1,31 @@
+package coldlease
+
+import (
+	"slices"
+	"time"
+)
+
+// sweep removes what has expired once per term, so that memory is bounded by
+// the live leaves and peers.
+func (m *Machine) sweep(now time.Duration) {
+	if now < m.nextSweep {
+		return
+	}
+	m.nextSweep = now + m.cfg.Term
+	for id, p := range m.promises {
+		if p.until <= now {
+			delete(m.promises, id)
+		}
+	}
+	for id, until := range m.owed {
+		if until <= now {
+			delete(m.owed, id)
+		}
+	}
+	for _, p := range m.peers {
+		if p.dropped && now >= p.droppedAt+m.cfg.fence(m.maxRunLimit) {
+			m.forget(p)
+		}
+	}
+	m.rounds = slices.DeleteFunc(m.rounds, func(r round) bool { return r.sentAt+m.cfg.Term <= now })
+}
--- /dev/null
+++ b/internal/coldlease/view.go
@@ -0,0 +1,95 @@
+package coldlease
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+func (m *Machine) viewChanged(now time.Duration, ev ViewChanged) {
+	if ev.Version <= m.listVersion {
+		return
+	}
+	m.listVersion = ev.Version
+	m.listed = false
+	named := make(map[topology.VMID]bool, len(ev.VMs))
+	for _, id := range ev.VMs {
+		named[id] = true
+		if id == m.cfg.Self {
+			m.listed = true
+		} else {
+			m.addPeer(id)
+		}
+	}
+	for id, p := range m.peers {
+		if !named[id] && !p.dropped {
+			m.dropPeer(now, p)
+		}
+	}
+	if m.listed && m.firstListed == 0 {
+		m.firstListed, m.firstListedAt = ev.Version, now
+	}
+	m.applyEvictions()
+	m.askSoon(now)
+}
+
+func (m *Machine) addPeer(id topology.VMID) {
+	if p := m.peers[id]; p != nil {
+		m.restorePeer(p)
+		return
+	}
+	p := &peer{id: id, slot: m.slots}
+	if n := len(m.freeSlots); n > 0 {
+		p.slot = m.freeSlots[n-1]
+		m.freeSlots = m.freeSlots[:n-1]
+	} else {
+		m.slots++
+	}
+	m.peers[id] = p
+}
+
+// restorePeer undoes dropPeer. The platform does not name a VM again after it
+// has dropped it, but if it did, the VM's acknowledgement would be needed.
+func (m *Machine) restorePeer(p *peer) {
+	if !p.dropped {
+		return
+	}
+	p.dropped = false
+	for _, l := range m.leaves {
+		if l.ackedAt(p.slot) != never {
+			l.setAcked(p.slot, never)
+		}
+	}
+}
+
+// dropPeer marks a peer that the list names no more. The process is gone, but
+// its requests may run on for the fence. Leaves that it has promised to this VM
+// are the exception: it sent nothing to them.
+func (m *Machine) dropPeer(now time.Duration, p *peer) {
+	p.dropped, p.droppedAt = true, now
+	for _, l := range m.leaves {
+		if l.ackedAt(p.slot)+m.cfg.Term > now {
+			l.setAcked(p.slot, forever)
+		}
+	}
+}
+
+// forget removes a dropped peer and frees its slot.
+func (m *Machine) forget(p *peer) {
+	delete(m.peers, p.id)
+	m.freeSlots = append(m.freeSlots, p.slot)
+	m.lastDropAt = max(m.lastDropAt, p.droppedAt)
+	for _, l := range m.leaves {
+		if p.slot < len(l.acked) {
+			l.acked[p.slot] = never
+		}
+	}
+}
+
+// needed reports whether the lease of a leaf requires a peer's acknowledgement.
+func (m *Machine) needed(now time.Duration, p *peer, l *leaf) bool {
+	if p.dropped {
+		return now < p.droppedAt+m.cfg.fence(l.runLimit)
+	}
+	return !p.skip || now < p.skipFrom+m.cfg.fence(l.runLimit)
+}
