--- a/internal/query/harness_test.go
+++ b/internal/query/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -45,9 +44,16 @@
 	return plan
 }
 
+// testingT is what *testing.T and *rapid.T have in common.
+type testingT interface {
+	assert.TestingT
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // harness performs the actions of one query and keeps what they add up to.
 type harness struct {
-	t       *testing.T
+	t       testingT
 	m       *Machine
 	now     time.Duration
 	budget  *allowance
@@ -57,6 +63,8 @@
 	replans []topology.Snapshot
 	wake    time.Duration
 	answer  *Answer
+	// observe sees each action before the harness performs it.
+	observe func(Action)
 }
 
 func (h *harness) start() { h.take(h.m.Start(h.now)) }
@@ -68,6 +76,9 @@
 		if _, abort := action.(Abort); h.answer != nil && !abort {
 			h.t.Fatalf("%T after Finish", action)
 		}
+		if h.observe != nil {
+			h.observe(action)
+		}
 		switch a := action.(type) {
 		case Send:
 			h.sends = append(h.sends, a)
--- /dev/null
+++ b/internal/query/model_test.go
@@ -0,0 +1,187 @@
+package query
+
+import (
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// model tracks what a query may do, from its events and actions alone.
+type model struct {
+	*harness
+	params  Params
+	plan    Plan
+	granted int
+	event   Event
+	// open are the sends that have neither ended nor been aborted.
+	open    map[uint64]Send
+	sent    map[topology.ShardID][]Send
+	merged  map[topology.ShardID]uint64
+	crashed bool
+}
+
+func (m *model) pin(plan Plan) {
+	m.plan = plan
+	m.sent, m.merged = map[topology.ShardID][]Send{}, map[topology.ShardID]uint64{}
+}
+
+// deliver feeds an event and checks the state after it.
+func (m *model) deliver(ev Event) {
+	m.event = ev
+	if f, ok := ev.(Failed); ok && f.Crash {
+		_, open := m.open[f.Attempt]
+		m.crashed = m.crashed || open
+	}
+	before := len(m.sends)
+	m.step(ev)
+	m.close(ev)
+	if m.crashed {
+		assert.Equal(m.t, len(m.sends), before, "send after a crash")
+	}
+	m.check()
+}
+
+// close forgets the attempt that an event has ended.
+func (m *model) close(ev Event) {
+	switch ev := ev.(type) {
+	case Reply:
+		if s := m.open[ev.Attempt]; s.Leaf == ev.Leaf && s.Shard == ev.Shard {
+			delete(m.open, ev.Attempt)
+		}
+	case Failed:
+		delete(m.open, ev.Attempt)
+	case Retired:
+		delete(m.open, ev.Attempt)
+	}
+}
+
+func (m *model) see(action Action) {
+	switch a := action.(type) {
+	case Send:
+		m.seeSend(a)
+	case Merge:
+		m.seeMerge(a.Attempt)
+	case Abort:
+		delete(m.open, a.Attempt)
+	case Discard:
+		m.pin(m.event.(Replanned).Plan)
+	case WakeAt:
+		assert.Assert(m.t, a.At > m.now && a.At <= m.params.Deadline)
+	case Finish:
+		assert.Assert(m.t, m.answer == nil, "second Finish")
+		m.seeAnswer(a.Answer)
+	}
+}
+
+func (m *model) seeSend(s Send) {
+	earlier := m.sent[s.Shard]
+	assert.Assert(m.t, len(earlier) < m.params.MaxAttempts, "too many sends to %s", s.Shard)
+	assert.Equal(m.t, s.Snapshot, m.plan.Snapshot)
+	assert.Assert(m.t, s.StartBy > m.now && s.StartBy <= m.params.Deadline)
+	for _, other := range earlier {
+		assert.Assert(m.t, other.Leaf != s.Leaf, "second send to %s", s.Leaf)
+	}
+	if s.Kind == KindHedge {
+		assert.Assert(m.t, m.candidate(s).Warm, "hedge to a cold leaf")
+	}
+	if m.params.Canary && s.Kind != KindCanary {
+		m.close(m.event)
+		for _, other := range m.open {
+			assert.Assert(m.t, other.Kind != KindCanary, "fan-out before the canary's end")
+		}
+	}
+	m.sent[s.Shard], m.open[s.Attempt] = append(earlier, s), s
+}
+
+func (m *model) candidate(s Send) Candidate {
+	for _, shard := range m.plan.Shards {
+		for _, c := range shard.Candidates {
+			if c.Leaf == s.Leaf {
+				return c
+			}
+		}
+	}
+	return Candidate{}
+}
+
+// seeMerge accepts only the reply that is being delivered, and only when it
+// matches an open attempt of a shard that has none merged.
+func (m *model) seeMerge(id uint64) {
+	s, open := m.open[id]
+	assert.Assert(m.t, open, "merge of attempt %d, which is not open", id)
+	r, ok := m.event.(Reply)
+	assert.Assert(m.t, ok && r.Attempt == id && r.Leaf == s.Leaf && r.Shard == s.Shard)
+	assert.Equal(m.t, r.Snapshot, m.plan.Snapshot, "merged another snapshot")
+	_, twice := m.merged[s.Shard]
+	assert.Assert(m.t, !twice, "shard %s merged twice", s.Shard)
+	m.merged[s.Shard] = id
+}
+
+func (m *model) covered() (covered, total uint64) {
+	for _, shard := range m.plan.Shards {
+		total += shard.Weight
+		if _, ok := m.merged[shard.Shard]; ok {
+			covered += shard.Weight
+		}
+	}
+	return covered, total
+}
+
+func (m *model) seeAnswer(a Answer) {
+	covered, total := m.covered()
+	assert.DeepEqual(m.t, [2]uint64{a.Covered, a.Total}, [2]uint64{covered, total})
+	assert.Equal(m.t, a.Snapshot, m.plan.Snapshot)
+	assert.Equal(m.t, len(a.Missing)+len(m.merged), len(m.plan.Shards))
+	for _, missing := range a.Missing {
+		_, merged := m.merged[missing.Shard]
+		assert.Assert(m.t, !merged && missing.Reason != "", "%s is missing", missing.Shard)
+	}
+	_, gone := m.event.(CallerGone)
+	assert.Equal(m.t, a.Err != "", gone || len(m.merged) == 0)
+}
+
+func (m *model) check() {
+	covered, _ := m.covered()
+	assert.Equal(m.t, m.m.covered, covered)
+	extra := 0
+	for _, s := range m.sends {
+		if s.Kind == KindHedge || s.Kind == KindRetry || s.Kind == KindMove {
+			extra++
+		}
+	}
+	assert.Equal(m.t, extra, m.granted-m.budget.left, "sends and budget differ")
+	for id, s := range m.open {
+		_, merged := m.merged[s.Shard]
+		assert.Assert(m.t, !merged && m.answer == nil, "attempt %d not aborted", id)
+	}
+}
+
+// pick draws one of the values with nearly equal chance; rapid.SampledFrom
+// prefers the first ones so much that few queries restart or crash.
+func pick[T any](t *rapid.T, label string, values ...T) T {
+	return rapid.Custom(func(t *rapid.T) T {
+		i := 0
+		for range 6 {
+			i *= 2
+			if rapid.Bool().Draw(t, "bit") {
+				i++
+			}
+		}
+		return values[i%len(values)]
+	}).Draw(t, label)
+}
+
+func drawPlan(t *rapid.T, snapshot topology.Snapshot) Plan {
+	plan := testPlan(snapshot, pick(t, "shards", 3, 4, 5, 3, 4, 5, 1, 0), 3)
+	for i := range plan.Shards {
+		s := &plan.Shards[i]
+		s.Weight = pick[uint64](t, "weight", 0, 1, 2, 30)
+		s.Candidates = s.Candidates[:pick(t, "replicas", 2, 3, 2, 3, 2, 3, 1, 0)]
+		for c := range s.Candidates {
+			s.Candidates[c].Warm = rapid.Bool().Draw(t, "warm")
+			s.Candidates[c].HedgeAfter = pick(t, "hedge after", 10*ms, 50*ms, 0)
+		}
+	}
+	return plan
+}
