--- a/internal/query/machine_timer.go
+++ b/internal/query/machine_timer.go
@@ -4,7 +4,7 @@
 
 // onTimer sends the hedges that are due and finds the next time that matters.
 func (m *Machine) onTimer(now time.Duration, budget Budget) {
-	_ = 0
+	m.armed = never
 	m.wake = m.deadline
 	if now < m.target {
 		m.wake = m.target
