Test a crash that ends the wait for a newer plan

Taking the reset of the awaited plan out of crash() passed all tests: a retired shard whose other attempt was lost would have kept the query until its target. The new row of the table fails without the reset (trial on a copy).

Ran: go test -race on both packages, passes.

--- a/internal/query/faults_crash_test.go
+++ b/internal/query/faults_crash_test.go
@@ -45,6 +45,14 @@
 		h.step(Replanned{Plan: testPlan(newer, 3, 2), OK: true})
 		h.reply("s2")
 	}, want: partial(30, miss("s0", errs.ReasonVersionRetired), miss("s1", errs.ReasonCrashed))},
+	{name: "crash while a newer plan is awaited, then the other attempt is lost", budget: 1, script: func(h *harness) {
+		first := h.last("s1")
+		h.reply("s0")
+		h.timerAt(20 * ms)
+		h.retire("s1")
+		h.crash("s2")
+		h.step(Failed{Attempt: first.Attempt, Reason: errs.ReasonDown})
+	}, want: partial(10, miss("s1", errs.ReasonDown), miss("s2", errs.ReasonCrashed)), sends: and(three, KindHedge)},
 	{name: "caller gone", script: func(h *harness) {
 		h.reply("s0")
 		h.step(CallerGone{})
