--- /dev/null
+++ b/internal/configedit/decide.go
@@ -0,0 +1,81 @@
+package configedit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
+	"github.com/medlarswitch/medlarswitch/internal/servicedoc"
+)
+
+// Decide returns the manifest that accepts an edit, or the problems that
+// refuse it. The whole document is checked with the edit in it, since an edit
+// that is valid alone may not be valid beside another. The base is not
+// changed.
+func Decide(base Base, e Edit) (confsync.Manifest, servicedoc.Problems) {
+	if message := refusal(base, e); message != "" {
+		return confsync.Manifest{}, servicedoc.Problems{{Section: e.Section, Message: message}}
+	}
+	if _, problems := servicedoc.Check(sections(base.Sections, e)); len(problems) > 0 {
+		return confsync.Manifest{}, problems
+	}
+	return next(base.Manifest, e), nil
+}
+
+// refusal returns why an edit can't be made, whatever its text.
+func refusal(base Base, e Edit) string {
+	current, exists := base.Manifest.Find(e.Section)
+	switch {
+	case !validID(e.ID):
+		return fmt.Sprintf("the edit ID %q can't be part of a store key: expected up to 64 letters, digits and '-'", e.ID)
+	case slices.ContainsFunc(base.Manifest.Edits, e.is):
+		return fmt.Sprintf("the edit ID %q is used already: expected a new one for each edit", e.ID)
+	case !base.matches():
+		return fmt.Sprintf("the section texts are not those of generation %d", base.Manifest.Generation)
+	case !servicedoc.MayEdit(base.Sections, e.Section, e.Team):
+		return fmt.Sprintf("team %q may not edit the section: expected a team that section %q names for it", e.Team, servicedoc.KindOwners)
+	case e.From != current.EditID:
+		return fmt.Sprintf("the text was derived from version %q, and the current one is %q: expected an edit of the current version", e.From, current.EditID)
+	case e.Remove && !exists:
+		return "the section doesn't exist: expected the name of a section to remove"
+	case e.Remove && e.Section == string(servicedoc.KindOwners):
+		return "the owner list can't be removed: without it every team could edit every section"
+	}
+	return ""
+}
+
+// is reports whether a recorded edit is this one.
+func (e Edit) is(recorded confsync.Edit) bool { return recorded.EditID == e.ID }
+
+const maxIDBytes = 64
+
+func validID(id string) bool {
+	const allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-"
+	return id != "" && len(id) <= maxIDBytes && strings.Trim(id, allowed) == ""
+}
+
+// sections returns the document with the edit in it.
+func sections(current []servicedoc.Section, e Edit) []servicedoc.Section {
+	out := slices.DeleteFunc(slices.Clone(current), func(s servicedoc.Section) bool { return s.Name == e.Section })
+	if !e.Remove {
+		out = append(out, servicedoc.Section{Name: e.Section, Text: e.Text})
+	}
+	return out
+}
+
+// next returns the manifest of the following generation.
+func next(m confsync.Manifest, e Edit) confsync.Manifest {
+	generation := m.Generation + 1
+	refs := slices.DeleteFunc(slices.Clone(m.Sections), func(r confsync.SectionRef) bool { return r.Name == e.Section })
+	if !e.Remove {
+		refs = append(refs, confsync.SectionRef{Name: e.Section, EditID: e.ID, Hash: confsync.HashText(e.Text)})
+	}
+	slices.SortFunc(refs, func(a, b confsync.SectionRef) int { return cmp.Compare(a.Name, b.Name) })
+	edits := append(slices.Clone(m.Edits), confsync.Edit{
+		Generation: generation, EditID: e.ID, Section: e.Section, Team: e.Team, At: e.At,
+	})
+	edits = edits[max(0, len(edits)-confsync.MaxEdits):]
+	return confsync.Manifest{Generation: generation, Sections: refs, Edits: edits}
+}
--- a/internal/confsync/manifest.go
+++ b/internal/confsync/manifest.go
@@ -12,6 +12,12 @@
 // was lost finds its own edit among them.
 const MaxEdits = 64
 
+// ManifestKey is the store object that holds the manifest.
+const ManifestKey = "manifest"
+
+// SectionKey returns the store object that holds a section version.
+func SectionKey(name, editID string) string { return "section/" + name + "/" + editID }
+
 // Manifest is one accepted configuration. It is stored as JSON and must not be
 // changed after it is built.
 type Manifest struct {
