Test the frames between processes under faults and fix what the tests found

Cause: internal/wire had no tests.

- A connection that always had frames to write was closed after 3 s, since one write deadline covered the whole batch.
- A large frame over a slow link was cut after 3 s although bytes arrived; the read deadline now covers silence only (TestSlowFrameIsNotSilence).
- A false length made the decoder allocate 1 MiB for a 12-byte input, and its recursion had no bound; lengths and depth are checked first (FuzzReadFrame, TestDeepNestingIsRefused).
Joined chunks bound a truncated frame.
- Request IDs started at 1 on each connection, so that an old reply could match a call after a reconnect; they start at random (TestRequestIDsDifferAfterReconnect).

Ruled out: pings that extend the deadline (they prove nothing about the frame); a byte-wise comparison of Hello boots for old replies (both ends may be the same boot).

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -14,6 +15,10 @@
 	MaxFrameBytes = 4 << 20
 
 	lengthBytes = 4
+
+	// envelopeBytes is above the encoded size of an envelope without its shard
+	// and body, which is under 100 bytes.
+	envelopeBytes = 256
 )
 
 // ErrFrameTooLarge is returned for a frame above MaxFrameBytes.
@@ -25,6 +30,19 @@
 	return raw, errors.Wrapf(err, "encode %T", body)
 }
 
+// encodeBounded encodes a body and refuses one that does not fit into a frame.
+// The writer could only end the connection for it, with all its calls.
+func encodeBounded(body any, shard string) (msgpack.RawMessage, error) {
+	raw, err := EncodeBody(body)
+	if err != nil {
+		return nil, err
+	}
+	if len(raw)+len(shard)+envelopeBytes > MaxFrameBytes {
+		return nil, ErrFrameTooLarge
+	}
+	return raw, nil
+}
+
 // DecodeBody decodes the body of an envelope.
 func DecodeBody(env *Envelope, into any) error {
 	return errors.Wrapf(msgpack.Unmarshal(env.Body, into), "decode %T", into)
@@ -59,6 +77,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read frame")
 	}
+	if err := checkStructure(payload); err != nil {
+		return nil, errors.Wrap(err, "check envelope")
+	}
 	env := new(Envelope)
 	if err := msgpack.Unmarshal(payload, env); err != nil {
 		return nil, errors.Wrap(err, "decode envelope")
@@ -66,16 +87,21 @@
 	return env, nil
 }
 
+// readPayload joins the chunks of a payload after all have arrived, so that a
+// truncated frame never takes more than its bytes and one chunk.
 func readPayload(r io.Reader, size int) ([]byte, error) {
-	const chunkBytes = 64 << 10
-	payload := make([]byte, 0, min(size, chunkBytes))
-	for len(payload) < size {
-		n := min(size-len(payload), chunkBytes)
-		start := len(payload)
-		payload = append(payload, make([]byte, n)...)
-		if _, err := io.ReadFull(r, payload[start:]); err != nil {
+	const chunkBytes = 32 << 10
+	var chunks [][]byte
+	for left := size; left > 0; {
+		chunk := make([]byte, min(left, chunkBytes))
+		if _, err := io.ReadFull(r, chunk); err != nil {
 			return nil, err
 		}
+		left -= len(chunk)
+		chunks = append(chunks, chunk)
+	}
+	if len(chunks) == 1 {
+		return chunks[0], nil
 	}
-	return payload, nil
+	return bytes.Join(chunks, nil), nil
 }
--- a/internal/wire/loops.go
+++ b/internal/wire/loops.go
@@ -10,10 +10,6 @@
 // readLoop delivers incoming frames until the connection fails.
 func (p *Peer) readLoop(r *bufio.Reader) {
 	for {
-		if err := p.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
-			p.fail(err)
-			return
-		}
 		env, err := readFrame(r)
 		if err != nil {
 			p.fail(err)
@@ -55,7 +51,7 @@
 // flushed when the queue is empty, so that frames queued together share a
 // system call.
 func (p *Peer) writeLoop() {
-	w := bufio.NewWriterSize(p.conn, bufferBytes)
+	w := bufio.NewWriterSize(chunkWriter{p.conn}, bufferBytes)
 	ping := time.NewTicker(pingInterval)
 	defer ping.Stop()
 	for {
@@ -76,9 +72,6 @@
 }
 
 func (p *Peer) writeBatch(w *bufio.Writer, first *outgoing) error {
-	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	if err := p.writeOne(w, first); err != nil {
 		return err
 	}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,7 +13,6 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/timeline"
-	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
 const (
@@ -54,21 +54,29 @@
 		pending: make(map[uint64]*pendingCall),
 		closed:  make(chan struct{}),
 	}
-	r := bufio.NewReaderSize(conn, bufferBytes)
-	if err := p.handshake(ctx, r, self); err != nil {
+	// A random start keeps a reply from an earlier connection from matching.
+	p.nextID.Store(rand.Uint64() >> 1)
+	silence := &silenceReader{conn: conn, until: handshakeEnd(ctx)}
+	r := bufio.NewReaderSize(silence, bufferBytes)
+	if err := p.handshake(r, self, silence.until); err != nil {
 		_ = conn.Close()
 		return nil, errs.Wrap(err, errs.StepRelayDial, conn.RemoteAddr().String(), errs.ReasonConnectionLost, true)
 	}
+	silence.until = time.Time{}
 	go p.readLoop(r)
 	go p.writeLoop()
 	return p, nil
 }
 
-func (p *Peer) handshake(ctx context.Context, r *bufio.Reader, self Hello) error {
-	deadline := time.Now().Add(idleTimeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
+func handshakeEnd(ctx context.Context) time.Time {
+	end := time.Now().Add(idleTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(end) {
+		end = d
 	}
+	return end
+}
+
+func (p *Peer) handshake(r *bufio.Reader, self Hello, deadline time.Time) error {
 	if err := p.conn.SetDeadline(deadline); err != nil {
 		return err
 	}
@@ -97,59 +105,11 @@
 	return p.conn.SetDeadline(time.Time{})
 }
 
-// Call sends a request and waits for its reply. An error states whether the
-// request is known not to have been sent.
-func (p *Peer) Call(ctx context.Context, kind Kind, shard string, snap topology.Snapshot, body any) (*Envelope, error) {
-	raw, err := EncodeBody(body)
-	if err != nil {
-		return nil, errs.Wrap(err, errs.StepRelaySend, p.name(), errs.ReasonInvalid, true)
-	}
-	env := &Envelope{ID: p.nextID.Add(1), Kind: kind, Shard: shard, Snapshot: snap, Body: raw}
-	call := &pendingCall{out: &outgoing{env: env}, reply: make(chan *Envelope, 1)}
-	if err := p.register(call); err != nil {
-		return nil, errs.Wrap(err, errs.StepRelaySend, p.name(), errs.ReasonConnectionLost, true)
-	}
-	defer p.forget(env.ID)
-	if err := p.enqueue(ctx, call.out); err != nil {
-		return nil, err
-	}
-	select {
-	case reply := <-call.reply:
-		return reply, nil
-	case <-ctx.Done():
-		return nil, p.abandonCall(ctx, call)
-	case <-p.closed:
-		return p.lostCall(call)
-	}
-}
-
-// lostCall prefers a reply that arrived just before the connection closed.
-func (p *Peer) lostCall(call *pendingCall) (*Envelope, error) {
-	select {
-	case reply := <-call.reply:
-		return reply, nil
-	default:
-	}
-	notRun := call.out.abandon()
-	return nil, errs.Wrap(p.closeError(), errs.StepRelaySend, p.name(), errs.ReasonConnectionLost, notRun)
-}
-
-func (p *Peer) abandonCall(ctx context.Context, call *pendingCall) error {
-	notRun := call.out.abandon()
-	if !notRun {
-		p.post(&Envelope{Kind: KindCancel, ID: call.out.env.ID, Shard: call.out.env.Shard})
-	}
-	reason := errs.ReasonCancelled
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = errs.ReasonDeadline
-	}
-	return errs.Wrap(ctx.Err(), errs.StepRelaySend, p.name(), reason, notRun)
-}
-
 // Notify sends a message without a reply. It is dropped when the send queue
-// is full or the connection is closed.
+// is full or the connection is closed. An error means that the body cannot be
+// encoded or is too large.
 func (p *Peer) Notify(kind Kind, body any) error {
-	raw, err := EncodeBody(body)
+	raw, err := encodeBounded(body, "")
 	if err != nil {
 		return err
 	}
@@ -157,9 +117,11 @@
 	return nil
 }
 
-// Reply answers a request. A reply to a closed connection is dropped.
+// Reply answers a request. A reply to a closed connection is dropped. It waits
+// while the send queue is full, at most until the writer times out. An error
+// means that the body cannot be encoded or is too large.
 func (p *Peer) Reply(request *Envelope, kind Kind, body any) error {
-	raw, err := EncodeBody(body)
+	raw, err := encodeBounded(body, request.Shard)
 	if err != nil {
 		return err
 	}
@@ -192,33 +154,6 @@
 	}
 }
 
-func (p *Peer) enqueue(ctx context.Context, out *outgoing) error {
-	select {
-	case p.sendQ <- out:
-		return nil
-	case <-ctx.Done():
-		return errs.Wrap(ctx.Err(), errs.StepRelaySend, p.name(), errs.ReasonOverloaded, true)
-	case <-p.closed:
-		return errs.Wrap(p.closeError(), errs.StepRelaySend, p.name(), errs.ReasonConnectionLost, true)
-	}
-}
-
-func (p *Peer) register(call *pendingCall) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.err != nil {
-		return p.err
-	}
-	p.pending[call.out.env.ID] = call
-	return nil
-}
-
-func (p *Peer) forget(id uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.pending, id)
-}
-
 func (p *Peer) closeError() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/wire/structure.go
@@ -0,0 +1,90 @@
+package wire
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// maxDepth bounds the nesting of a frame's values; the decoder recurses once
+// for each level. Messages nest less than 10 levels.
+const maxDepth = 64
+
+var errMalformed = errors.New("malformed msgpack")
+
+// checkStructure verifies that the lengths in a payload fit into it. The
+// decoder allocates up to 1 MiB for a false length before it reads.
+func checkStructure(b []byte) error {
+	// open holds how many values still follow at each level.
+	var open [maxDepth]uint64
+	open[0] = 1
+	for depth := 0; depth >= 0; {
+		if open[depth] == 0 {
+			depth--
+			continue
+		}
+		open[depth]--
+		size, values, err := measure(b)
+		if err != nil {
+			return err
+		}
+		if size > uint64(len(b)) || values > uint64(len(b))-size {
+			return errors.Wrap(errMalformed, "length exceeds the frame")
+		}
+		b = b[size:]
+		if values == 0 {
+			continue
+		}
+		depth++
+		if depth == maxDepth {
+			return errors.Wrapf(errMalformed, "nested deeper than %d levels", maxDepth)
+		}
+		open[depth] = values
+	}
+	if len(b) > 0 {
+		return errors.Wrapf(errMalformed, "%d bytes after the envelope", len(b))
+	}
+	return nil
+}
+
+// measure returns the bytes of the first value without the values in it, and
+// how many values are in it.
+func measure(b []byte) (size, values uint64, err error) {
+	if len(b) == 0 {
+		return 0, 0, errors.Wrap(errMalformed, "value missing")
+	}
+	c := b[0]
+	switch {
+	case msgpcode.IsFixedNum(c):
+		return 1, 0, nil
+	case msgpcode.IsFixedMap(c):
+		return 1, 2 * uint64(c&msgpcode.FixedMapMask), nil
+	case msgpcode.IsFixedArray(c):
+		return 1, uint64(c & msgpcode.FixedArrayMask), nil
+	case msgpcode.IsFixedString(c):
+		return 1 + uint64(c&msgpcode.FixedStrMask), 0, nil
+	}
+	f, ok := formats[c]
+	if !ok {
+		return 0, 0, errors.Wrapf(errMalformed, "code %#x", c)
+	}
+	n, err := readLength(b[1:], f.lengthBytes)
+	return 1 + uint64(f.lengthBytes) + f.fixed + n*f.perBytes, n * f.perValues, err
+}
+
+func readLength(b []byte, bytes int) (uint64, error) {
+	if len(b) < bytes {
+		return math.MaxUint32, errors.Wrap(errMalformed, "length missing")
+	}
+	switch bytes {
+	case 1:
+		return uint64(b[0]), nil
+	case 2:
+		return uint64(binary.BigEndian.Uint16(b)), nil
+	case 4:
+		return uint64(binary.BigEndian.Uint32(b)), nil
+	}
+	return 0, nil
+}
