--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/topology"
@@ -106,7 +107,7 @@
 			m = &Member{Heard: now}
 			v.members[vm.ID] = m
 		}
-		if m.VM != vm {
+		if !reflect.DeepEqual(m.VM, vm) {
 			m.VM = vm
 			v.joined(m)
 		}
