Let a relay inherit that a leaf is warm

Cause: the rank-2 relay treats every leaf as cold, since it has no measurements. After the loss of rank 1 it would need the lease of every leaf, which the lost relay cannot acknowledge, so warm leaves would get no load until the VM list drops the VM. Ruled out: believing the leaf's own report, which lags and misleads; and believing any relay's word, because an idle relay would undo the fall to cold that the serving one saw.

--- a/internal/warmup/tracker.go
+++ b/internal/warmup/tracker.go
@@ -37,6 +37,11 @@
 	pauseUntil  time.Duration
 	nextProbe   time.Duration
 	leavingBoot uint64
+	// fellBoot is the leaf's boot ID at the last fall without a new boot.
+	fellBoot uint64
+	// unproven is the number of good replies until an inherited warm state
+	// counts as this relay's own.
+	unproven int
 }
 
 // New returns a tracker of a cold leaf. Slots below 1 count as 1.
@@ -88,13 +93,17 @@
 		t.timedOut()
 	case Reset:
 		t.ended()
-		t.fall("connection reset")
+		t.fallMeasured("connection reset")
 	case ConnectFailed:
 		t.connectFailed(now)
 	case Probed:
 		t.probed(now, ev)
 	case Report:
 		t.report(now, ev)
+	case Inherited:
+		t.inherited(ev)
+	case FellElsewhere:
+		t.fellElsewhere(ev)
 	}
 	if t.state == from {
 		return nil
@@ -112,7 +121,15 @@
 	}
 }
 
+// fallMeasured is a fall by the leaf's behaviour while its boot stays the same.
+// That boot is not inherited as warm again.
+func (t *Tracker) fallMeasured(reason string) {
+	t.fellBoot = t.boots.current
+	t.fall(reason)
+}
+
 func (t *Tracker) cold(reason string) {
+	t.unproven = 0
 	t.set(Cold, reason)
 	t.level, t.good, t.slow, t.failed = halfDuty, 0, 0, 0
 	t.times = newLatencies()
--- a/internal/warmup/tracker_replies.go
+++ b/internal/warmup/tracker_replies.go
@@ -34,6 +34,7 @@
 	}
 	t.slow = 0
 	t.good++
+	t.unproven = max(t.unproven-1, 0)
 	if t.state == Warming && t.good >= riseStreak {
 		t.rise()
 	}
@@ -43,7 +44,7 @@
 	t.good = 0
 	t.slow++
 	if t.slow >= slowStreak {
-		t.fall("replies too slow")
+		t.fallMeasured("replies too slow")
 	}
 }
 
