Put leases, quarantine, pause checks and a warm-up share into the processes

The relay holds the lease machine; a request to a cold leaf is sent only under the lease, with a start-by that the lease allows. Calls and facts of the relay have locks of their own, because a worker that answers while the server hands it events under one lock would deadlock.

--- a/cmd/medlar-relay/main.go
+++ b/cmd/medlar-relay/main.go
@@ -55,6 +55,8 @@
 	// The link outlives the stop signal: the relay serves while it drains.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	go agentlink.New(proc, cfg.Agent, server).Run(work)
+	link := agentlink.New(proc, cfg.Agent, server)
+	server.SetLink(link)
+	go link.Run(work)
 	return server.Run(ctx, frames, cfg.DrainDelay)
 }
--- /dev/null
+++ b/internal/agent/evictions.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/coldlease"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/platform"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+const evictionsTimeout = 3 * time.Second
+
+// evictions reads a zone's evictions for the VM's relay, after a conditional
+// update if it asks for one.
+func (s *Server) evictions(p *wire.Peer, env *wire.Envelope) {
+	var call message.EvictionsCall
+	if !decode(p, env, &call) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.loop.ctx(), evictionsTimeout)
+	defer cancel()
+	key := platform.KeyEvictions(string(call.Zone))
+	if call.Replace {
+		s.replaceEvictions(ctx, key, call)
+	}
+	if err := p.Reply(env, wire.KindEvictions, s.readEvictions(ctx, key)); err != nil {
+		klog.ErrorS(err, "Cannot encode evictions")
+	}
+}
+
+// replaceEvictions makes the conditional update. Its result shows in the read
+// that follows.
+func (s *Server) replaceEvictions(ctx context.Context, key string, call message.EvictionsCall) {
+	value, err := msgpack.Marshal(call.Evictions)
+	if err != nil {
+		klog.ErrorS(err, "Cannot encode evictions")
+		return
+	}
+	if _, err := s.platform.Put(ctx, key, value, call.IfVersion); err != nil {
+		klog.InfoS("Eviction not written", "zone", call.Zone, "err", err)
+	}
+}
+
+func (s *Server) readEvictions(ctx context.Context, key string) message.EvictionsAnswer {
+	object, err := s.platform.Get(ctx, key)
+	if err != nil {
+		return message.EvictionsAnswer{}
+	}
+	if object.Version == 0 {
+		return message.EvictionsAnswer{OK: true}
+	}
+	var list []coldlease.Eviction
+	if err := msgpack.Unmarshal(object.Value, &list); err != nil {
+		klog.ErrorS(err, "The store holds evictions that cannot be read", "key", key)
+		return message.EvictionsAnswer{}
+	}
+	return message.EvictionsAnswer{OK: true, Evictions: list, Version: object.Version}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -40,6 +40,7 @@
 	peers    *wire.Links
 	loop     *configLoop
 	store    *storeReader
+	pauses   *pauseGuard
 
 	mu          sync.Mutex
 	view        topology.VMView
@@ -57,6 +58,7 @@
 	s.frames.OnPeer = s.joined
 	s.peers = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
 	s.loop = newConfigLoop(s)
+	s.pauses = newPauseGuard(s)
 	s.store = newStoreReader(proc, s.platform, s.loop.report)
 	return s
 }
@@ -71,6 +73,7 @@
 	go s.loop.run(work)
 	go s.pollVMs(work)
 	go s.repeat(work)
+	go s.pauses.run(work)
 	<-ctx.Done()
 	time.Sleep(s.cfg.DrainDelay)
 	s.frames.Close()
@@ -96,6 +99,10 @@
 		}
 	case wire.KindFact:
 		s.spread(p, env)
+	case wire.KindEvictions:
+		go s.evictions(p, env)
+	case wire.KindConfirm:
+		go s.confirm(p, env)
 	}
 }
 
--- /dev/null
+++ b/internal/agentlink/guard.go
@@ -0,0 +1,74 @@
+package agentlink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/pause"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+const (
+	guardInterval  = 250 * time.Millisecond
+	confirmTimeout = time.Second
+)
+
+// guard refuses new work after a pause of the process: the configuration in
+// force may have changed meanwhile. It is safe for concurrent use.
+type guard struct {
+	link *Link
+
+	mu       sync.Mutex
+	detector *pause.Detector
+}
+
+func newGuard(l *Link) *guard {
+	return &guard{link: l, detector: pause.New(guardInterval, pause.DefaultTolerance)}
+}
+
+func (g *guard) mayAccept() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.MayAccept(g.link.proc.Now())
+}
+
+func (g *guard) run(ctx context.Context) {
+	tick := time.NewTicker(guardInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		g.mu.Lock()
+		paused := g.detector.Tick(g.link.proc.Now())
+		g.mu.Unlock()
+		if paused {
+			klog.InfoS("The process was paused; new work waits for the agent's confirmation")
+			go g.confirm(ctx)
+		}
+	}
+}
+
+// confirm asks the agent for the generation and waits until it is in force.
+func (g *guard) confirm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	asked := g.link.proc.Now()
+	var answer message.Confirmed
+	if err := g.link.Call(ctx, wire.KindConfirm, message.Confirm{}, &answer); err != nil {
+		klog.InfoS("The agent did not confirm the generation", "err", err)
+		return
+	}
+	for g.link.generation.Load() < answer.Generation && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.Confirm(asked)
+}
--- a/internal/agentlink/link.go
+++ b/internal/agentlink/link.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/confsync"
+	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/servicedoc"
 	"github.com/medlarswitch/medlarswitch/internal/telemetry"
@@ -29,9 +30,11 @@
 	inbox    chan input
 	// heard is when the agent last sent its generation, in proc's time.
 	heard atomic.Int64
+	// generation is the one in force here.
+	generation atomic.Uint64
+	guard      *guard
 
-	sections   map[string]heldSection
-	generation uint64
+	sections map[string]heldSection
 }
 
 // input is a message of the agent with the connection it came on.
@@ -52,6 +55,7 @@
 		inbox: make(chan input, inboxSize), sections: make(map[string]heldSection),
 	}
 	l.links = wire.NewLinks(proc.Self, proc.WireOptions(l.handle))
+	l.guard = newGuard(l)
 	return l
 }
 
@@ -68,6 +72,7 @@
 // Run follows the agent until the context is done.
 func (l *Link) Run(ctx context.Context) {
 	l.links.Set(ctx, []string{l.addr})
+	go l.guard.run(ctx)
 	for {
 		select {
 		case in := <-l.inbox:
@@ -78,6 +83,10 @@
 	}
 }
 
+// MayAccept reports whether new work may be accepted. It is false after a pause
+// of the process until the agent has confirmed the generation, at most 1 s.
+func (l *Link) MayAccept() bool { return l.guard.mayAccept() }
+
 // Silence is how long nothing was heard from the agent.
 func (l *Link) Silence() time.Duration {
 	return l.proc.Now() - time.Duration(l.heard.Load())
@@ -95,6 +104,19 @@
 	}
 }
 
+// Call asks the agent and decodes its answer.
+func (l *Link) Call(ctx context.Context, kind wire.Kind, body, answer any) error {
+	peer := l.links.Get(l.addr)
+	if peer == nil {
+		return errs.New(errs.StepRelayDial, l.addr, errs.ReasonConnectionLost, true, "no connection to the agent")
+	}
+	env, err := peer.Call(ctx, kind, "", topology.Snapshot{}, body)
+	if err != nil {
+		return err
+	}
+	return wire.DecodeBody(env, answer)
+}
+
 func (l *Link) take(ctx context.Context, in input) {
 	switch in.env.Kind {
 	case wire.KindConfigOffer:
@@ -111,11 +133,11 @@
 
 func (l *Link) offered(ctx context.Context, in input) {
 	var m confsync.Manifest
-	if !l.decode(in.env, &m) || m.Generation < l.generation {
+	if !l.decode(in.env, &m) || m.Generation < l.generation.Load() {
 		return
 	}
 	l.heard.Store(int64(l.proc.Now()))
-	if m.Generation == l.generation {
+	if m.Generation == l.generation.Load() {
 		return
 	}
 	sections, ok := l.fetchAll(ctx, in.peer, m)
@@ -128,8 +150,8 @@
 		return
 	}
 	t.Generation = m.Generation
-	l.generation = m.Generation
 	l.receiver.SetTopology(ctx, t)
+	l.generation.Store(m.Generation)
 }
 
 // fetchAll returns all sections of a manifest, of which it fetches those that
--- a/internal/entry/handler_query.go
+++ b/internal/entry/handler_query.go
@@ -39,9 +39,12 @@
 	if class.Submits {
 		return nil, errs.New(errs.StepPlan, s.proc.Name(), errs.ReasonInvalid, true, "class %q takes submits, not queries", class.ID)
 	}
+	if err := s.mayAccept(errs.StepAdmission); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, class.Deadline+deadlineGrace)
 	defer cancel()
-	release, err := s.policy.admit(ctx, class, s.policy.expected(class))
+	release, err := s.policy.admit(ctx, class, s.policy.expected(class.ID))
 	if err != nil {
 		return nil, err
 	}
@@ -54,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fingerprint, canary, err := s.policy.screen(class, text)
+	fingerprint, canary, err := s.policy.screen(class, []byte(text))
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +75,7 @@
 	}
 	s.proc.Events.Add(timeline.KindQueryStart, id, string(class.ID), "")
 	answer := r.run(ctx)
+	s.policy.took(class.ID, s.proc.Now()-began-waited)
 	s.policy.learn(class, fingerprint, r.crashes, answer.Covered > 0)
 	s.metrics.done(s.proc.Now()-began, answer, len(plan.Shards), r.machine.Counters())
 	s.proc.Events.Add(timeline.KindQueryDone, id, string(class.ID), describe(answer))
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -18,6 +18,12 @@
 // spread.
 const planVariants = 8
 
+// warmupPlans is the number of plans of an index that send one shard to a leaf
+// that is not warm although another one is. Without them a leaf whose replica
+// is warm would get no work and never warm up. One shard in a quarter of the
+// queries bounds how many answers wait for a slow leaf.
+const warmupPlans = 2
+
 // hedgeDelays gives the time after which a second request to another leaf of
 // a shard is worth sending; 0 means never.
 type hedgeDelays interface {
@@ -47,12 +53,30 @@
 	if !ok {
 		return out
 	}
-	for range planVariants {
-		out.plans = append(out.plans, p.variant(index, snap))
+	for i := range planVariants {
+		plan := p.variant(index, snap)
+		if i < warmupPlans {
+			warmOne(plan)
+		}
+		out.plans = append(out.plans, plan)
 	}
 	return out
 }
 
+// warmOne moves a leaf that is not warm to the front of one random shard that
+// has one.
+func warmOne(plan query.Plan) {
+	for _, i := range rand.Perm(len(plan.Shards)) {
+		candidates := plan.Shards[i].Candidates
+		cold := slices.IndexFunc(candidates, func(c query.Candidate) bool { return !c.Warm })
+		if cold <= 0 {
+			continue
+		}
+		candidates[0], candidates[cold] = candidates[cold], candidates[0]
+		return
+	}
+}
+
 func (p *planner) evidence(index *topology.Index) map[topology.LeafID]snapshot.Evidence {
 	out := make(map[topology.LeafID]snapshot.Evidence)
 	for _, shard := range index.Shards {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -1,16 +1,18 @@
 package entry
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/budget"
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/latency"
+	"github.com/medlarswitch/medlarswitch/internal/quarantine"
 	"github.com/medlarswitch/medlarswitch/internal/query"
 	"github.com/medlarswitch/medlarswitch/internal/telemetry"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
-	"github.com/medlarswitch/medlarswitch/internal/wire"
 )
 
 const (
@@ -20,6 +22,9 @@
 	// extraBurst lets one query of 170 leaves replace a few of its leaves at
 	// once.
 	extraBurst = 20
+	// expectWeight makes the expected run time follow about the last 16
+	// queries of a class.
+	expectWeight = 16
 )
 
 // policy holds what one entry decides over all its queries: admission, the
@@ -28,26 +33,71 @@
 type policy struct {
 	*admitter
 
-	mu     sync.Mutex
-	budget *budget.Budget
-	delays *latency.Table
+	// spread passes a fact on to all other entries.
+	spread func(quarantine.Fact)
+
+	mu         sync.Mutex
+	budget     *budget.Budget
+	delays     *latency.Table
+	quarantine *quarantine.Table
+	expects    map[topology.ClassID]time.Duration
 }
 
-func newPolicy(proc *telemetry.Process, cfg Config) *policy {
+func newPolicy(proc *telemetry.Process, cfg Config, spread func(quarantine.Fact)) *policy {
 	return &policy{
-		admitter: newAdmitter(proc, cfg.MaxQueries),
-		budget:   budget.New(budget.Config{Share: extraShare, Burst: extraBurst}),
-		delays:   latency.NewTable(),
+		admitter:   newAdmitter(proc, cfg.MaxQueries),
+		spread:     spread,
+		budget:     budget.New(budget.Config{Share: extraShare, Burst: extraBurst}),
+		delays:     latency.NewTable(),
+		quarantine: quarantine.New(quarantine.Config{Origin: uint64(proc.Self.Boot)}),
+		expects:    make(map[topology.ClassID]time.Duration),
+	}
+}
+
+// screen refuses a quarantined request and says whether it needs a canary.
+func (p *policy) screen(class *topology.Class, payload []byte) (fingerprint uint64, canary bool, err *errs.Error) {
+	fingerprint = quarantine.Fingerprint(class.ID, payload)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.proc.Now()
+	if p.quarantine.Blocked(now, fingerprint) {
+		return 0, false, errs.New(errs.StepAdmission, p.proc.Name(), errs.ReasonQuarantined, true, "this request has crashed upstreams")
+	}
+	return fingerprint, p.quarantine.Canary(now, class.ID, class.Canary, fingerprint), nil
+}
+
+// learn records how a request ended: the leaves that were lost while they ran
+// it, or that leaves survived it.
+func (p *policy) learn(class *topology.Class, fingerprint uint64, crashes int, replied bool) {
+	var facts []quarantine.Fact
+	p.mu.Lock()
+	now := p.proc.Now()
+	for range crashes {
+		facts = append(facts, p.quarantine.Loss(now, class.ID, fingerprint)...)
+	}
+	if crashes == 0 && replied {
+		p.quarantine.Cleared(now, fingerprint)
+	}
+	p.mu.Unlock()
+	for _, f := range facts {
+		p.proc.Events.Add(timeline.KindQuarantine, "", string(class.ID), "crash-like loss of fingerprint "+strconv.FormatUint(f.Fingerprint, 16))
+		p.spread(f)
 	}
 }
 
-// screen refuses a quarantined query and says whether it needs a canary.
-func (p *policy) screen(*topology.Class, string) (fingerprint uint64, canary bool, err *errs.Error) {
-	return 0, false, nil
+// learnFact takes what another VM learned.
+func (p *policy) learnFact(f quarantine.Fact) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.quarantine.Learn(p.proc.Now(), f)
 }
 
-// learn records how a query ended.
-func (p *policy) learn(*topology.Class, uint64, int, bool) {}
+// facts returns what an entry that has just joined must learn.
+func (p *policy) facts() []quarantine.Fact {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.quarantine.Facts(p.proc.Now())
+}
 
 // sent counts a first attempt at a leaf.
 func (p *policy) sent() {
@@ -82,8 +132,21 @@
 	return delay
 }
 
-// fact takes what another VM learned.
-func (p *policy) fact(*wire.Envelope) {}
+// took records how long a query of a class ran after its admission.
+func (p *policy) took(class topology.ClassID, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, ok := p.expects[class]
+	if !ok {
+		p.expects[class] = d
+		return
+	}
+	p.expects[class] = old + (d-old)/expectWeight
+}
 
-// expected is how long a query of a class takes, for admission.
-func (p *policy) expected(class *topology.Class) time.Duration { return class.LatencyTarget / 4 }
+// expected is how long a query of a class is expected to run, for admission.
+func (p *policy) expected(class topology.ClassID) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.expects[class]
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -52,19 +52,20 @@
 	metrics   *entryMetrics
 	requestID atomic.Uint64
 	stopping  atomic.Bool
-	agent     agentSender
+	agent     agentLink
 }
 
 // NewServer returns an entry without configuration.
 func NewServer(proc *telemetry.Process, cfg Config) *Server {
 	s := &Server{proc: proc, cfg: cfg, drain: lifecycle.NewDrain(), metrics: newEntryMetrics(proc.Metrics)}
-	s.policy = newPolicy(proc, cfg)
+	s.policy = newPolicy(proc, cfg, s.spreadFact)
 	s.submits = newSubmits(proc, cfg)
 	s.view.Store(emptyView())
 	s.builder = newViewBuilder(proc.Self.VM, proc.Self.Zone, s.policy, proc.Now, s.view.Store)
 	s.frames = wire.NewServer(proc.Self, proc.WireOptions(s.handle))
 	s.relays = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
 	s.entries = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
+	s.entries.OnPeer = s.greet
 	return s
 }
 
@@ -138,6 +139,8 @@
 		go s.forwardedSubmit(p, env)
 	case wire.KindBeginSubmit:
 		s.forwardedBegin(p, env)
+	case wire.KindFact:
+		s.Fact(env)
 	}
 }
 
--- a/internal/entry/submit_run.go
+++ b/internal/entry/submit_run.go
@@ -59,17 +59,26 @@
 	s.proc.Events.Add(timeline.KindSubmitStart, r.id, string(r.class.ID), r.ticket.String())
 	outcome := submit.Outcome{Kind: submit.NotRun, Reason: errs.ReasonDeadline}
 	defer func() { s.submits.finish(r.ticket, outcome) }()
+	fingerprint, _, refused := s.policy.screen(r.class, r.payload)
+	if refused != nil {
+		outcome.Reason = refused.Reason
+		return
+	}
+	if paused := s.mayAccept(errs.StepTicket); paused != nil {
+		outcome.Reason = paused.Reason
+		return
+	}
 	if s.submits.dispatch(r.ticket) {
 		ctx, cancel := context.WithTimeout(ctx, r.deadline-s.proc.Now()+deadlineGrace)
 		defer cancel()
-		outcome = s.sendSubmit(ctx, r)
+		outcome = s.sendSubmit(ctx, r, fingerprint)
 	}
 	s.proc.Events.Add(timeline.KindSubmitDone, r.id, string(r.class.ID), outcome.String())
 }
 
 // sendSubmit offers the request to leaves, one after the other, until one may
 // have run it.
-func (s *Server) sendSubmit(ctx context.Context, r *submission) submit.Outcome {
+func (s *Server) sendSubmit(ctx context.Context, r *submission, fingerprint uint64) submit.Outcome {
 	last := submit.Outcome{Kind: submit.NotRun, Reason: errs.ReasonNoLeaf}
 	for _, leaf := range s.submitLeaves(r) {
 		now := s.proc.Now()
@@ -85,6 +94,9 @@
 		if err == nil {
 			return submit.Outcome{Kind: submit.Done, Result: reply.Result}
 		}
+		if err.Crash {
+			s.policy.learn(r.class, fingerprint, 1, false)
+		}
 		if !err.NotRun {
 			return submit.Outcome{Kind: submit.Unknown, Reason: err.Reason}
 		}
--- a/internal/errs/reason.go
+++ b/internal/errs/reason.go
@@ -28,4 +28,5 @@
 	ReasonIssuerGone       Reason = "issuer-gone"
 	ReasonTicketExpired    Reason = "ticket-expired"
 	ReasonCrashed          Reason = "upstream-crashed"
+	ReasonPaused           Reason = "paused"
 )
--- a/internal/message/leaf_facts.go
+++ b/internal/message/leaf_facts.go
@@ -21,8 +21,6 @@
 	// Baseline is the warm latency; 0 unless warm. The rank-2 relay takes it
 	// over, so that a failover does not treat a warm leaf as cold.
 	Baseline time.Duration `msgpack:"e"`
-	// Queued is the number of requests in the relay's queue for the leaf.
-	Queued int `msgpack:"q"`
-	// Age is how old the facts are at sending.
-	Age time.Duration `msgpack:"a"`
+	// FellBoot is the boot ID that last fell to cold by its behaviour.
+	FellBoot uint64 `msgpack:"f"`
 }
--- /dev/null
+++ b/internal/relay/lease_keeper.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/coldlease"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/telemetry"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+const (
+	// leaseTerm is how long an acknowledgement lasts.
+	leaseTerm = 2 * time.Second
+	// leaseMargin covers the rate error of clocks.
+	leaseMargin = 500 * time.Millisecond
+	// evictionsBusy is how often evictions are read while a lease is wanted,
+	// and evictionsQuiet otherwise. A read is a call of the store.
+	evictionsBusy  = 2 * time.Second
+	evictionsQuiet = 30 * time.Second
+)
+
+// agentCaller asks the agent of the VM.
+type agentCaller interface {
+	Call(ctx context.Context, kind wire.Kind, body, answer any) error
+}
+
+// leaseKeeper owns the lease machine of the relay: it serialises its calls,
+// sends its messages and tells workers when a lease is gained or lost. It is
+// safe for concurrent use.
+type leaseKeeper struct {
+	proc  *telemetry.Process
+	agent agentCaller
+	wake  chan struct{}
+	// send passes a message on to another relay of the zone, or drops it.
+	send func(to topology.VMID, kind wire.Kind, body any)
+
+	mu      sync.Mutex
+	boot    topology.BootID
+	machine *coldlease.Machine
+	view    coldlease.ViewChanged
+	wanted  map[topology.LeafID]*wantedLease
+}
+
+// wantedLease is a lease that a worker asked for.
+type wantedLease struct {
+	runLimit time.Duration
+	held     bool
+	changed  func()
+}
+
+func newLeaseKeeper(proc *telemetry.Process, send func(topology.VMID, wire.Kind, any)) *leaseKeeper {
+	k := &leaseKeeper{
+		proc: proc, send: send, wake: make(chan struct{}, 1),
+		wanted: make(map[topology.LeafID]*wantedLease),
+	}
+	k.restart()
+	return k
+}
+
+// restart begins with a new machine and a new boot. It is called with the lock
+// held, or before anything else.
+func (k *leaseKeeper) restart() {
+	k.boot = topology.BootID(rand.Uint64())
+	k.machine = coldlease.New(coldlease.Config{
+		Self: k.proc.Self.VM, Boot: k.boot, Term: leaseTerm, Margin: leaseMargin, StartedAt: k.proc.Now(),
+	})
+	if k.view.Version > 0 {
+		k.machine.Step(k.proc.Now(), k.view)
+	}
+	for id, w := range k.wanted {
+		k.machine.Step(k.proc.Now(), coldlease.Want{Leaf: id, RunLimit: w.runLimit})
+	}
+}
+
+// setVMs brings a VM list into force.
+func (k *leaseKeeper) setVMs(v topology.VMView) {
+	ev := coldlease.ViewChanged{Version: v.Version}
+	for _, vm := range v.InZone(k.proc.Self.Zone) {
+		ev.VMs = append(ev.VMs, vm.ID)
+	}
+	k.mu.Lock()
+	k.view = ev
+	k.mu.Unlock()
+	k.step(ev)
+}
+
+// Want asks for a leaf's lease; changed is called when it is gained or lost
+// and must not block.
+func (k *leaseKeeper) Want(leaf topology.LeafID, runLimit time.Duration, changed func()) {
+	k.mu.Lock()
+	k.wanted[leaf] = &wantedLease{runLimit: runLimit, changed: changed}
+	k.mu.Unlock()
+	k.step(coldlease.Want{Leaf: leaf, RunLimit: runLimit})
+}
+
+// Unwant ends Want.
+func (k *leaseKeeper) Unwant(leaf topology.LeafID) {
+	k.mu.Lock()
+	delete(k.wanted, leaf)
+	k.mu.Unlock()
+	k.step(coldlease.Unwant{Leaf: leaf})
+}
+
+// Held reports whether the lease of a leaf is held.
+func (k *leaseKeeper) Held(leaf topology.LeafID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.machine.Held(k.proc.Now(), leaf)
+	return ok
+}
+
+// Dispatch records that a request is about to be sent, and returns the latest
+// start-by that the lease allows. Without the lease it returns false and the
+// request must not be sent. A leaf that needs no lease has no limit.
+func (k *leaseKeeper) Dispatch(leaf topology.LeafID, needsLease bool) (until time.Duration, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.proc.Now()
+	if needsLease {
+		if until, ok = k.machine.Held(now, leaf); !ok {
+			return 0, false
+		}
+	}
+	k.carryOut(k.machine.Step(now, coldlease.Dispatched{Leaf: leaf}))
+	return until, true
+}
+
+// Ended records that a request can no longer run in the leaf.
+func (k *leaseKeeper) Ended(leaf topology.LeafID) { k.step(coldlease.Ended{Leaf: leaf}) }
+
+// GoneBy returns when a request without an answer has left the leaf.
+func (k *leaseKeeper) GoneBy(startBy, runLimit time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.GoneBy(startBy, runLimit)
+}
+
+func (k *leaseKeeper) step(ev coldlease.Event) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.carryOut(k.machine.Step(k.proc.Now(), ev))
+	if k.machine.Evicted() {
+		k.proc.Events.Add(timeline.KindLease, "", string(k.proc.Self.VM), "evicted; starting over")
+		k.restart()
+	}
+	k.tellWorkers()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *leaseKeeper) carryOut(actions []coldlease.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case coldlease.SendRequest:
+			k.send(a.To, wire.KindLeaseRequest, message.LeaseRequest{Boot: k.boot, Request: a.Request})
+		case coldlease.SendAck:
+			k.send(a.To, wire.KindLeaseAck, message.LeaseAck{Boot: k.boot, Ack: a.Ack})
+		case coldlease.ProposeEviction:
+			k.proc.Events.Add(timeline.KindLease, "", string(a.VM), "evict boot "+a.Boot.String())
+			go k.askAgent(message.EvictionsCall{
+				Zone: k.proc.Self.Zone, Replace: true, Evictions: a.Evictions, IfVersion: a.IfVersion,
+			})
+		}
+	}
+}
+
+// tellWorkers calls the workers whose lease was gained or lost.
+func (k *leaseKeeper) tellWorkers() {
+	now := k.proc.Now()
+	for id, w := range k.wanted {
+		if _, held := k.machine.Held(now, id); held != w.held {
+			w.held = held
+			k.proc.Events.Add(timeline.KindLease, "", string(id), map[bool]string{true: "held", false: "lost"}[held])
+			w.changed()
+		}
+	}
+}
+
+// received takes a lease message of another relay.
+func (k *leaseKeeper) received(p *wire.Peer, env *wire.Envelope) error {
+	if env.Kind == wire.KindLeaseRequest {
+		var m message.LeaseRequest
+		if err := wire.DecodeBody(env, &m); err != nil {
+			return err
+		}
+		k.step(coldlease.RequestReceived{From: p.Remote.VM, Boot: m.Boot, Request: m.Request})
+		return nil
+	}
+	var m message.LeaseAck
+	if err := wire.DecodeBody(env, &m); err != nil {
+		return err
+	}
+	k.step(coldlease.AckReceived{From: p.Remote.VM, Boot: m.Boot, Ack: m.Ack})
+	return nil
+}
+
+// run lets time pass and reads evictions until the context is done.
+func (k *leaseKeeper) run(ctx context.Context) {
+	go k.followEvictions(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-k.wake:
+		case <-timer.C:
+			k.step(coldlease.Tick{})
+		case <-ctx.Done():
+			return
+		}
+		timer.Reset(k.untilWake())
+	}
+}
+
+func (k *leaseKeeper) untilWake() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.proc.Now()
+	at, ok := k.machine.NextWake(now)
+	if !ok {
+		return time.Minute
+	}
+	return max(at-now, 0)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -27,25 +27,20 @@
 	proc   *telemetry.Process
 	frames *wire.Server
 	links  *wire.Links
-	leases leases
+	leases *leaseKeeper
+	agent  agentLink
 	drain  *lifecycle.Drain
 	hub    *factsHub
+	calls  *callTable
 	nextID atomic.Uint64
 
 	mu       sync.Mutex
 	topology *topology.Topology
 	views    [2]topology.VMView // current and previous VM list
 	workers  map[topology.LeafID]*runningWorker
-	calls    map[callKey]openCall
 	stopping bool
 }
 
-// callKey identifies an entry's call, for its cancellation.
-type callKey struct {
-	peer *wire.Peer
-	id   uint64
-}
-
 // runningWorker is a worker with what ends it.
 type runningWorker struct {
 	*leafWorker
@@ -55,11 +50,10 @@
 // NewServer returns a relay without configuration.
 func NewServer(proc *telemetry.Process) *Server {
 	s := &Server{
-		proc: proc, drain: lifecycle.NewDrain(), hub: newFactsHub(),
+		proc: proc, drain: lifecycle.NewDrain(), hub: newFactsHub(), calls: newCallTable(),
 		workers: make(map[topology.LeafID]*runningWorker),
-		calls:   make(map[callKey]openCall),
 	}
-	s.leases = openLeases{}
+	s.leases = newLeaseKeeper(proc, s.sendToRelay)
 	s.frames = wire.NewServer(proc.Self, proc.WireOptions(s.handle))
 	s.frames.OnPeer = s.hub.join
 	s.links = wire.NewLinks(proc.Self, proc.WireOptions(s.handle))
@@ -73,6 +67,7 @@
 	defer cancel()
 	go func() { _ = s.frames.Serve(work, ln) }()
 	go s.repeatFacts(work)
+	go s.leases.run(work)
 	<-ctx.Done()
 	s.beginDrain()
 	time.Sleep(drainDelay)
@@ -101,9 +96,13 @@
 	case wire.KindLeafRequest:
 		s.leafRequest(p, env)
 	case wire.KindCancel:
-		s.cancel(p, env.ID)
+		s.calls.cancel(callKey{peer: p, id: env.ID})
 	case wire.KindLeafFacts:
 		s.peerFacts(p, env)
+	case wire.KindLeaseRequest, wire.KindLeaseAck:
+		if err := s.leases.received(p, env); err != nil {
+			klog.ErrorS(err, "Cannot decode a lease message", "peer", p.Remote.VM)
+		}
 	}
 }
 
@@ -113,6 +112,10 @@
 		s.reply(p, env, refused(&msg, env, s.proc.Name(), errs.ReasonInvalid))
 		return
 	}
+	if !s.agent.MayAccept() {
+		s.reply(p, env, refused(&msg, env, s.proc.Name(), errs.ReasonPaused))
+		return
+	}
 	worker, reason := s.find(msg.Leaf)
 	if worker == nil {
 		s.reply(p, env, refused(&msg, env, s.proc.Name(), reason))
@@ -126,18 +129,18 @@
 		startBy: now + msg.StartBy, deadline: now + msg.Deadline,
 	}
 	req.answer = func(r *message.LeafReply) {
-		s.forget(key)
+		s.calls.remove(key)
 		s.reply(p, env, r)
 		leave()
 	}
-	s.remember(key, worker, req.id)
+	s.calls.add(key, openCall{worker: worker, request: req.id})
 	if !worker.post(requestArrived{request: req}) {
 		req.answer(refused(&msg, env, s.proc.Name(), errs.ReasonOverloaded))
 	}
 }
 
 func (s *Server) reply(p *wire.Peer, env *wire.Envelope, r *message.LeafReply) {
-	if err := p.Reply(env, wire.KindLeafReply, r); err != nil {
+	if err := p.ReplyOrClose(env, wire.KindLeafReply, r); err != nil {
 		klog.ErrorS(err, "Cannot encode reply", "leaf", r.Leaf)
 	}
 }
@@ -165,6 +168,32 @@
 	}
 }
 
+// agentLink is the connection to the VM's agent.
+type agentLink interface {
+	agentCaller
+	// MayAccept is false after a pause of the process until the agent has
+	// confirmed the configuration.
+	MayAccept() bool
+}
+
+// SetLink gives the relay its agent. It must be called before Run.
+func (s *Server) SetLink(a agentLink) {
+	s.agent = a
+	s.leases.agent = a
+}
+
+// sendToRelay sends a message to another relay of the zone. It is dropped
+// without a connection; the sender repeats it.
+func (s *Server) sendToRelay(to topology.VMID, kind wire.Kind, body any) {
+	p := s.links.ByVM(to)
+	if p == nil {
+		return
+	}
+	if err := p.Notify(kind, body); err != nil {
+		klog.ErrorS(err, "Cannot encode a message", "peer", to, "kind", kind)
+	}
+}
+
 // Fact implements agentlink.Receiver; a relay needs no facts.
 func (s *Server) Fact(*wire.Envelope) {}
 
--- a/internal/relay/server_config.go
+++ b/internal/relay/server_config.go
@@ -31,6 +31,7 @@
 
 // SetVMs brings a VM list into force. Lower versions are ignored.
 func (s *Server) SetVMs(ctx context.Context, v topology.VMView) {
+	s.leases.setVMs(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if v.Version <= s.views[0].Version {
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -23,16 +23,14 @@
 	idleWake = time.Second
 )
 
-// leases is the right to send to cold leaves. Implementations are safe for
-// concurrent use.
+// leases is the right to send to cold leaves; leaseKeeper implements it.
 type leases interface {
-	// Want asks for a leaf's lease, or gives up asking.
-	Want(leaf topology.LeafID, runLimit time.Duration, want bool)
-	// Held returns until when the lease is held.
-	Held(now time.Duration, leaf topology.LeafID) (until time.Duration, ok bool)
-	// Dispatched and Ended frame each request in the leaf.
-	Dispatched(leaf topology.LeafID)
+	Want(leaf topology.LeafID, runLimit time.Duration, changed func())
+	Unwant(leaf topology.LeafID)
+	Held(leaf topology.LeafID) bool
+	Dispatch(leaf topology.LeafID, needsLease bool) (until time.Duration, ok bool)
 	Ended(leaf topology.LeafID)
+	GoneBy(startBy, runLimit time.Duration) time.Duration
 }
 
 // leafWorker holds the decisions for one leaf. All fields below inbox belong
@@ -46,16 +44,14 @@
 	publish  func(message.LeafFacts)
 	inbox    chan workerEvent
 
-	queue    *leafqueue.Queue
-	tracker  *warmup.Tracker
-	requests map[uint64]*leafRequest
-	running  map[uint64]context.CancelFunc
-	// uncertain holds requests whose end at the leaf is unknown; they keep
-	// their slot until slotFreed.
-	uncertain map[uint64]bool
+	queue     *leafqueue.Queue
+	tracker   *warmup.Tracker
+	requests  map[uint64]*leafRequest
+	running   map[uint64]context.CancelFunc
 	probing   bool
 	lastProbe time.Duration
 	facts     message.LeafFacts
+	told      message.LeafFacts
 	wanted    bool
 	serving   bool
 	open      bool
@@ -65,14 +61,13 @@
 func newLeafWorker(proc *telemetry.Process, leaf *topology.Leaf, index *topology.Index, connections int, l leases, publish func(message.LeafFacts)) *leafWorker {
 	return &leafWorker{
 		proc: proc, leaf: leaf, runLimit: index.RunLimit, leases: l, publish: publish,
-		client:    newLeafClient(leaf, connections),
-		inbox:     make(chan workerEvent, inboxSize),
-		queue:     leafqueue.New(leafqueue.Config{MaxQueued: maxQueued}),
-		tracker:   warmup.New(warmup.Config{Slots: index.Slots}),
-		requests:  make(map[uint64]*leafRequest),
-		running:   make(map[uint64]context.CancelFunc),
-		uncertain: make(map[uint64]bool),
-		open:      true,
+		client:   newLeafClient(leaf, connections),
+		inbox:    make(chan workerEvent, inboxSize),
+		queue:    leafqueue.New(leafqueue.Config{MaxQueued: maxQueued}),
+		tracker:  warmup.New(warmup.Config{Slots: index.Slots}),
+		requests: make(map[uint64]*leafRequest),
+		running:  make(map[uint64]context.CancelFunc),
+		open:     true,
 	}
 }
 
@@ -89,7 +84,7 @@
 // run handles events until the context is done.
 func (w *leafWorker) run(ctx context.Context) {
 	defer w.client.close()
-	defer w.leases.Want(w.leaf.ID, w.runLimit, false)
+	defer w.leases.Unwant(w.leaf.ID)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -117,7 +112,12 @@
 	case requestEnded:
 		w.ended(ctx, ev)
 	case slotFreed:
-		w.free(ctx, ev.id)
+		w.leases.Ended(w.leaf.ID)
+		w.step(ctx, leafqueue.Done{ID: ev.id})
+	case requestGone:
+		w.leases.Ended(w.leaf.ID)
+	case slotReturned:
+		w.step(ctx, leafqueue.Done{ID: ev.id})
 	case probeEnded:
 		w.probed(ev)
 		w.step(ctx, leafqueue.Tick{})
@@ -145,10 +145,8 @@
 // limit is what the leaf may get now; nothing without the lease it needs.
 func (w *leafWorker) limit(now time.Duration) leafqueue.SetLimit {
 	l := w.tracker.Limit(now)
-	if w.tracker.NeedsLease() {
-		if _, held := w.leases.Held(now, w.leaf.ID); !held {
-			return leafqueue.SetLimit{}
-		}
+	if w.tracker.NeedsLease() && !w.leases.Held(w.leaf.ID) {
+		return leafqueue.SetLimit{}
 	}
 	return leafqueue.SetLimit{InFlight: l.InFlight, NotBefore: l.NotBefore}
 }
@@ -156,10 +154,15 @@
 // wantLease asks for the lease while the leaf needs one and takes work.
 func (w *leafWorker) wantLease() {
 	want := w.serving && w.open && w.tracker.NeedsLease()
-	if want != w.wanted {
-		w.wanted = want
-		w.leases.Want(w.leaf.ID, w.runLimit, want)
+	if want == w.wanted {
+		return
+	}
+	w.wanted = want
+	if want {
+		w.leases.Want(w.leaf.ID, w.runLimit, func() { w.post(leaseChanged{}) })
+		return
 	}
+	w.leases.Unwant(w.leaf.ID)
 }
 
 func (w *leafWorker) apply(ctx context.Context, actions []leafqueue.Action) {
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -15,20 +15,26 @@
 // before the lease ends.
 func (w *leafWorker) dispatch(ctx context.Context, id uint64) {
 	req := w.requests[id]
+	// The wall clock is read first: a pause between the two readings then
+	// makes the start-by earlier and not later.
+	wall := time.Now()
+	until, ok := w.leases.Dispatch(w.leaf.ID, w.tracker.NeedsLease())
 	now := w.proc.Now()
-	startBy := req.startBy
-	if until, held := w.leases.Held(now, w.leaf.ID); held && w.tracker.NeedsLease() {
-		startBy = min(startBy, until)
+	if !ok {
+		w.refuse(leafqueue.Refuse{ID: id, Reason: errs.ReasonCold})
+		w.post(slotReturned{id: id})
+		return
+	}
+	if until > 0 {
+		req.startBy = min(req.startBy, until)
 	}
-	w.leases.Dispatched(w.leaf.ID)
 	w.transitions(w.tracker.Step(now, warmup.Dispatched{}))
 	w.proc.Events.Add(timeline.KindLeafSend, req.message.RequestID, string(w.leaf.ID), "")
 
 	runCtx, cancel := context.WithTimeout(ctx, req.deadline-now)
 	w.running[id] = cancel
-	wall := time.Now().Add(startBy - now)
 	go func() {
-		result := w.client.run(runCtx, &req.message, req.snapshot, wall)
+		result := w.client.run(runCtx, &req.message, req.snapshot, wall.Add(req.startBy-now))
 		cancel()
 		select {
 		case w.inbox <- requestEnded{id: id, result: result}:
@@ -47,39 +53,33 @@
 	w.transitions(w.tracker.Step(now, outcomeEvent(&ev.result)))
 	w.record(req, &ev.result)
 	req.answer(w.reply(&ev.result))
-	if w.mayStillRun(&ev.result) {
-		w.hold(ctx, ev.id, req)
+	if ev.result.err == nil || ev.result.err.NotRun {
+		w.leases.Ended(w.leaf.ID)
+		w.step(ctx, leafqueue.Done{ID: ev.id})
 		return
 	}
-	w.free(ctx, ev.id)
-}
-
-// mayStillRun reports whether the leaf may go on with a request that has
-// ended here. Only for a leaf whose own shedding is not trusted does that
-// keep the slot.
-func (w *leafWorker) mayStillRun(r *leafResult) bool {
-	return r.err != nil && !r.err.NotRun && w.tracker.NeedsLease()
+	w.endedUnknown(ctx, ev.id, req)
 }
 
-// hold keeps the slot of a request until it cannot run in the leaf any more.
-func (w *leafWorker) hold(ctx context.Context, id uint64, req *leafRequest) {
-	w.uncertain[id] = true
-	wait := req.startBy - w.proc.Now() + w.runLimit
+// endedUnknown handles a request that the leaf may go on with after it has
+// ended here. A warm leaf's own shedding is trusted, so its slot is free at
+// once; that of another leaf is held until the request cannot run any more.
+func (w *leafWorker) endedUnknown(ctx context.Context, id uint64, req *leafRequest) {
+	var after workerEvent = slotFreed{id: id}
+	if !w.tracker.NeedsLease() {
+		w.step(ctx, leafqueue.Done{ID: id})
+		after = requestGone{}
+	}
+	wait := w.leases.GoneBy(req.startBy, w.runLimit) - w.proc.Now()
 	time.AfterFunc(max(wait, 0), func() {
 		select {
-		case w.inbox <- slotFreed{id: id}:
+		case w.inbox <- after:
 		case <-ctx.Done():
 		}
 	})
 	w.step(ctx, leafqueue.Tick{})
 }
 
-func (w *leafWorker) free(ctx context.Context, id uint64) {
-	delete(w.uncertain, id)
-	w.leases.Ended(w.leaf.ID)
-	w.step(ctx, leafqueue.Done{ID: id})
-}
-
 // outcomeEvent tells the warm-up tracker how a request ended.
 func outcomeEvent(r *leafResult) warmup.Event {
 	switch {
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -24,9 +24,16 @@
 	result leafResult
 }
 
-// slotFreed ends the wait for a request whose end at the leaf is unknown.
+// slotFreed says that a request whose end at the leaf was unknown is gone, and
+// frees its slot.
 type slotFreed struct{ id uint64 }
 
+// requestGone says the same of a request whose slot is free already.
+type requestGone struct{}
+
+// slotReturned frees the slot of a request that was not sent after all.
+type slotReturned struct{ id uint64 }
+
 // probeEnded brings the leaf's report or a failure.
 type probeEnded struct {
 	report *medlarv1.ReportResponse
@@ -56,6 +63,8 @@
 func (requestCancelled) workerEvent() {}
 func (requestEnded) workerEvent()     {}
 func (slotFreed) workerEvent()        {}
+func (requestGone) workerEvent()      {}
+func (slotReturned) workerEvent()     {}
 func (probeEnded) workerEvent()       {}
 func (accepting) workerEvent()        {}
 func (ranked) workerEvent()           {}
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
-	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/warmup"
 )
 
+// baselineStep is the step in which the warm latency is told to others.
+const baselineStep = time.Millisecond
+
 // probeIfDue asks the leaf for its report in the background.
 func (w *leafWorker) probeIfDue(ctx context.Context) {
 	now := w.proc.Now()
@@ -46,29 +48,36 @@
 
 // tell publishes the leaf's facts when they changed.
 func (w *leafWorker) tell() {
-	now := w.proc.Now()
 	f := w.facts
 	state := w.tracker.State()
 	f.Leaf = w.leaf.ID
 	f.State = string(state)
 	f.Warm = state == warmup.Warm && w.open
-	f.Usable = w.open && w.usable(now, state) && len(f.IndexVersions) > 0
+	f.Usable = w.open && w.usable(state) && len(f.IndexVersions) > 0
 	f.Reason = w.reason(state)
-	if !reflect.DeepEqual(f, w.facts) {
-		w.facts = f
+	f.Baseline = roundBaseline(w.tracker)
+	f.FellBoot = w.tracker.FellBoot()
+	if !reflect.DeepEqual(f, w.told) {
+		w.told = f
 		w.publish(f)
 	}
 }
 
-func (w *leafWorker) usable(now time.Duration, state warmup.State) bool {
+// roundBaseline rounds the warm latency, so that facts do not change with
+// every reply.
+func roundBaseline(t *warmup.Tracker) time.Duration {
+	latency, _ := t.Baseline()
+	if latency == 0 {
+		return 0
+	}
+	return max(latency.Round(baselineStep), baselineStep)
+}
+
+func (w *leafWorker) usable(state warmup.State) bool {
 	if state == warmup.Down || state == warmup.Leaving {
 		return false
 	}
-	if !w.tracker.NeedsLease() {
-		return true
-	}
-	_, held := w.leases.Held(now, w.leaf.ID)
-	return held
+	return !w.tracker.NeedsLease() || w.leases.Held(w.leaf.ID)
 }
 
 // reason is why the leaf is not usable, as answers name it.
@@ -87,10 +96,11 @@
 	}
 }
 
-// inherit takes over what the owner of higher rank measured.
+// inherit takes over what another relay measured.
 func (w *leafWorker) inherit(ev peerFacts) {
-	_ = ev
+	now := w.proc.Now()
+	if !w.serving && ev.facts.FellBoot != 0 {
+		w.transitions(w.tracker.Step(now, warmup.FellElsewhere{Boot: ev.facts.FellBoot}))
+	}
+	w.transitions(w.tracker.Step(now, warmup.Inherited{Boot: ev.facts.Boot, Baseline: ev.facts.Baseline}))
 }
-
-// status is the leaf's state for operators. It is called by the worker.
-func (w *leafWorker) currentFacts() message.LeafFacts { return w.facts }
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -24,4 +24,6 @@
 	KindLeafFacts    Kind = 17
 	KindBeginSubmit  Kind = 18
 	KindHeartbeat    Kind = 19
+	KindEvictions    Kind = 20
+	KindConfirm      Kind = 21
 )
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
 const (
@@ -71,6 +73,18 @@
 	return entry.peer
 }
 
+// ByVM returns the open connection to a process on a VM, or nil.
+func (l *Links) ByVM(vm topology.VMID) *Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, entry := range l.links {
+		if entry.peer != nil && entry.peer.Remote.VM == vm {
+			return entry.peer
+		}
+	}
+	return nil
+}
+
 // Peers returns all open connections.
 func (l *Links) Peers() []*Peer {
 	l.mu.Lock()
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/timeline"
@@ -130,17 +131,36 @@
 	if err != nil {
 		return err
 	}
-	env := &Envelope{
-		ID: request.ID, Kind: kind, Reply: true,
-		Shard: request.Shard, Snapshot: request.Snapshot, Body: raw,
-	}
 	select {
-	case p.sendQ <- &outgoing{env: env}:
+	case p.sendQ <- &outgoing{env: replyTo(request, kind, raw)}:
 	case <-p.closed:
 	}
 	return nil
 }
 
+// ReplyOrClose answers a request without waiting. A full send queue means that
+// the peer has stopped reading: the connection is closed, and the peer's calls
+// end with an unknown outcome instead of holding up this process.
+func (p *Peer) ReplyOrClose(request *Envelope, kind Kind, body any) error {
+	raw, err := encodeBounded(body, request.Shard)
+	if err != nil {
+		return err
+	}
+	select {
+	case p.sendQ <- &outgoing{env: replyTo(request, kind, raw)}:
+	default:
+		p.fail(errors.New("the peer does not read its replies"))
+	}
+	return nil
+}
+
+func replyTo(request *Envelope, kind Kind, raw msgpack.RawMessage) *Envelope {
+	return &Envelope{
+		ID: request.ID, Kind: kind, Reply: true,
+		Shard: request.Shard, Snapshot: request.Snapshot, Body: raw,
+	}
+}
+
 // Close ends the connection; open calls fail.
 func (p *Peer) Close() { p.fail(errors.New("closed by this end")) }
 
