Bound the send queue in bytes and count every repeated reply

Cause 1: a peer that stops reading could make this process queue 4096 frames of 4 MiB. TestSendQueueIsBoundedInBytes fails with the bound taken out; TestQueuedBytesAreReleased guards against bytes that stay counted.

A repeat that arrived after the call had taken the first reply but before it ended was stored and not counted; the caller was not affected. The call is now removed when its reply is delivered. TestRepeatAfterTheFirstWasTakenIsCounted shows it each time and fails without the removal.

Ruled out: a sleep in the test, which would hide the race in the count.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -56,10 +56,14 @@
 }
 
 func (p *Peer) enqueue(ctx context.Context, out *outgoing) error {
+	if !p.reserve(out) {
+		return errs.New(errs.StepRelaySend, p.name(), errs.ReasonOverloaded, true, "send queue holds %d MiB", maxQueuedBytes>>20)
+	}
 	select {
 	case p.sendQ <- out:
 		return nil
 	case <-ctx.Done():
+		p.release(out)
 		return errs.Wrap(ctx.Err(), errs.StepRelaySend, p.name(), errs.ReasonOverloaded, true)
 	case <-p.closed:
 		return errs.Wrap(p.closeError(), errs.StepRelaySend, p.name(), errs.ReasonConnectionLost, true)
--- a/internal/wire/loops.go
+++ b/internal/wire/loops.go
@@ -33,18 +33,25 @@
 // deliverReply hands a reply to its call. A reply that matches no open call is
 // dropped and counted.
 func (p *Peer) deliverReply(env *Envelope) {
-	p.mu.Lock()
-	call, ok := p.pending[env.ID]
-	p.mu.Unlock()
-	if !ok || !env.matches(call.out.env) {
+	call, ok := p.take(env)
+	if !ok {
 		p.stats.strayReplies.Inc(1)
 		return
 	}
-	select {
-	case call.reply <- env:
-	default:
-		p.stats.strayReplies.Inc(1)
+	call.reply <- env
+}
+
+// take removes the call that a reply matches, so that a repeated reply finds
+// none.
+func (p *Peer) take(env *Envelope) (*pendingCall, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	call, ok := p.pending[env.ID]
+	if !ok || !env.matches(call.out.env) {
+		return nil, false
 	}
+	delete(p.pending, env.ID)
+	return call, true
 }
 
 // writeLoop writes queued frames, and a ping when there are none. Frames are
@@ -88,6 +95,7 @@
 }
 
 func (p *Peer) writeOne(w *bufio.Writer, out *outgoing) error {
+	p.release(out)
 	if !out.claim() {
 		return nil
 	}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -39,6 +39,8 @@
 
 	nextID  atomic.Uint64
 	sendQ   chan *outgoing
+	queued  atomic.Int64
+	room    chan struct{} // capacity 1
 	mu      sync.Mutex
 	pending map[uint64]*pendingCall
 	err     error
@@ -51,6 +53,7 @@
 	p := &Peer{
 		conn: conn, clock: opts.Clock, handler: opts.Handler, stats: opts.Stats,
 		sendQ:   make(chan *outgoing, sendQueueSize),
+		room:    make(chan struct{}, 1),
 		pending: make(map[uint64]*pendingCall),
 		closed:  make(chan struct{}),
 	}
@@ -129,8 +132,12 @@
 		ID: request.ID, Kind: kind, Reply: true,
 		Shard: request.Shard, Snapshot: request.Snapshot, Body: raw,
 	}
+	out := &outgoing{env: env}
+	if !p.reserveWait(out) {
+		return nil
+	}
 	select {
-	case p.sendQ <- &outgoing{env: env}:
+	case p.sendQ <- out:
 	case <-p.closed:
 	}
 	return nil
@@ -147,9 +154,15 @@
 }
 
 func (p *Peer) post(env *Envelope) {
+	out := &outgoing{env: env}
+	if !p.reserve(out) {
+		p.stats.droppedSends.Inc(1)
+		return
+	}
 	select {
-	case p.sendQ <- &outgoing{env: env}:
+	case p.sendQ <- out:
 	default:
+		p.release(out)
 		p.stats.droppedSends.Inc(1)
 	}
 }
--- a/internal/wire/pending.go
+++ b/internal/wire/pending.go
@@ -16,6 +16,9 @@
 	stage atomic.Int32
 }
 
+// size is what a queued frame counts for in the send queue's bound.
+func (o *outgoing) size() int64 { return int64(len(o.env.Body)) }
+
 // claim moves the frame from queued to written and reports whether it may be
 // written.
 func (o *outgoing) claim() bool { return o.stage.CompareAndSwap(stageQueued, stageWritten) }
