--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -40,6 +40,8 @@
 
 	nextID  atomic.Uint64
 	sendQ   chan *outgoing
+	queued  atomic.Int64
+	room    chan struct{} // capacity 1
 	mu      sync.Mutex
 	pending map[uint64]*pendingCall
 	err     error
@@ -52,6 +54,7 @@
 	p := &Peer{
 		conn: conn, clock: opts.Clock, handler: opts.Handler, stats: opts.Stats,
 		sendQ:   make(chan *outgoing, sendQueueSize),
+		room:    make(chan struct{}, 1),
 		pending: make(map[uint64]*pendingCall),
 		closed:  make(chan struct{}),
 	}
@@ -131,8 +134,12 @@
 	if err != nil {
 		return err
 	}
+	out := &outgoing{env: replyTo(request, kind, raw)}
+	if !p.reserveWait(out) {
+		return nil
+	}
 	select {
-	case p.sendQ <- &outgoing{env: replyTo(request, kind, raw)}:
+	case p.sendQ <- out:
 	case <-p.closed:
 	}
 	return nil
@@ -146,9 +153,7 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case p.sendQ <- &outgoing{env: replyTo(request, kind, raw)}:
-	default:
+	if !p.tryQueue(&outgoing{env: replyTo(request, kind, raw)}) {
 		p.fail(errors.New("the peer does not read its replies"))
 	}
 	return nil
@@ -172,10 +177,22 @@
 }
 
 func (p *Peer) post(env *Envelope) {
+	if !p.tryQueue(&outgoing{env: env}) {
+		p.stats.droppedSends.Inc(1)
+	}
+}
+
+// tryQueue queues a frame if there is room for it.
+func (p *Peer) tryQueue(out *outgoing) bool {
+	if !p.reserve(out) {
+		return false
+	}
 	select {
-	case p.sendQ <- &outgoing{env: env}:
+	case p.sendQ <- out:
+		return true
 	default:
-		p.stats.droppedSends.Inc(1)
+		p.release(out)
+		return false
 	}
 }
 
