Refuse work for a leaf that can get none at once

Cause: a request for a leaf that is down, leaving or without its lease waited in the relay's queue until its start-by, and an entry took the leaf's refused connection for the relay's and asked the rank-2 relay for the same leaf. Ruled out: a shorter start-by, which would also shorten the queue of a busy leaf.

--- a/internal/agent/config_loop.go
+++ b/internal/agent/config_loop.go
@@ -146,7 +146,7 @@
 	defer cancel()
 	text, ok := l.read(ctx, f)
 	if !ok {
-		l.report(confsync.FetchFailed{From: f.From, Name: f.Name, EditID: f.EditID})
+		l.report(confsync.FetchFailed(f))
 		return
 	}
 	l.report(confsync.SectionArrived{Name: f.Name, EditID: f.EditID, Text: text})
--- a/internal/entry/leaf_call.go
+++ b/internal/entry/leaf_call.go
@@ -40,14 +40,17 @@
 }
 
 // mayAskNextRelay reports whether the failure is the relay's and not the
-// leaf's, and the request is known not to have run.
+// leaf's, and the request is known not to have run. Another relay would only
+// meet the leaf's failure again.
 func mayAskNextRelay(err *errs.Error) bool {
 	if !err.NotRun {
 		return false
 	}
-	switch err.Reason {
-	case errs.ReasonConnectionLost, errs.ReasonNotOwner, errs.ReasonNoConfig, errs.ReasonDraining:
-		return true
+	switch err.Step {
+	case errs.StepRelayDial, errs.StepRelaySend:
+		return err.Reason == errs.ReasonConnectionLost
+	case errs.StepRelayQueue:
+		return err.Reason == errs.ReasonNotOwner || err.Reason == errs.ReasonNoConfig || err.Reason == errs.ReasonPaused
 	default:
 		return false
 	}
--- a/internal/relay/server_config.go
+++ b/internal/relay/server_config.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/ownership"
 	"github.com/medlarswitch/medlarswitch/internal/timeline"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
@@ -73,7 +72,7 @@
 		}
 	}
 	for _, w := range s.workers {
-		w.mustPost(ctx, accepting{open: s.topology.InService(w.leaf.Zone), reason: errs.ReasonZoneOut})
+		w.mustPost(ctx, accepting{inService: s.topology.InService(w.leaf.Zone)})
 		w.mustPost(ctx, ranked{serving: s.serving(w.leaf)})
 	}
 }
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -54,7 +54,9 @@
 	told      message.LeafFacts
 	wanted    bool
 	serving   bool
-	open      bool
+	// open is false while the zone is out.
+	open bool
+	// closedFor is why the queue is closed, or "".
 	closedFor errs.Reason
 }
 
@@ -122,7 +124,8 @@
 		w.probed(ev)
 		w.step(ctx, leafqueue.Tick{})
 	case accepting:
-		w.setAccepting(ctx, ev)
+		w.open = ev.inService
+		w.step(ctx, leafqueue.Tick{})
 	case ranked:
 		w.serving = ev.serving
 		w.step(ctx, leafqueue.Tick{})
@@ -138,16 +141,45 @@
 func (w *leafWorker) step(ctx context.Context, ev leafqueue.Event) {
 	now := w.proc.Now()
 	w.wantLease()
+	w.applyGate(ctx, now)
 	w.apply(ctx, w.queue.Step(now, w.limit(now)))
 	w.apply(ctx, w.queue.Step(now, ev))
 }
 
-// limit is what the leaf may get now; nothing without the lease it needs.
+// applyGate closes the queue while the leaf can get no work, so that requests
+// are refused at once and can move to another leaf, and opens it again.
+func (w *leafWorker) applyGate(ctx context.Context, now time.Duration) {
+	reason := w.unusable()
+	if reason == w.closedFor {
+		return
+	}
+	w.closedFor = reason
+	if reason == "" {
+		w.apply(ctx, w.queue.Step(now, leafqueue.Open{}))
+		return
+	}
+	w.apply(ctx, w.queue.Step(now, leafqueue.Close{Reason: reason}))
+}
+
+// unusable returns why the leaf can get no work now, or "".
+func (w *leafWorker) unusable() errs.Reason {
+	switch state := w.tracker.State(); {
+	case !w.open:
+		return errs.ReasonZoneOut
+	case state == warmup.Down:
+		return errs.ReasonDown
+	case state == warmup.Leaving:
+		return errs.ReasonLeaving
+	case w.tracker.NeedsLease() && !w.leases.Held(w.leaf.ID):
+		return errs.ReasonCold
+	default:
+		return ""
+	}
+}
+
+// limit is what the leaf may get now.
 func (w *leafWorker) limit(now time.Duration) leafqueue.SetLimit {
 	l := w.tracker.Limit(now)
-	if w.tracker.NeedsLease() && !w.leases.Held(w.leaf.ID) {
-		return leafqueue.SetLimit{}
-	}
 	return leafqueue.SetLimit{InFlight: l.InFlight, NotBefore: l.NotBefore}
 }
 
@@ -186,27 +218,11 @@
 		return
 	}
 	delete(w.requests, a.ID)
-	reason := a.Reason
-	if reason == errs.ReasonStartBy && w.tracker.NeedsLease() {
-		reason = errs.ReasonCold
-	}
-	err := errs.New(errs.StepRelayQueue, string(w.leaf.ID), reason, true, "refused by the leaf's queue")
-	w.proc.Events.Add(timeline.KindRefusal, req.message.RequestID, string(w.leaf.ID), string(reason))
+	err := errs.New(errs.StepRelayQueue, string(w.leaf.ID), a.Reason, true, "refused by the leaf's queue")
+	w.proc.Events.Add(timeline.KindRefusal, req.message.RequestID, string(w.leaf.ID), string(a.Reason))
 	req.answer(failedReply(w.leaf, err))
 }
 
-func (w *leafWorker) setAccepting(ctx context.Context, ev accepting) {
-	if w.open == ev.open && w.closedFor == ev.reason {
-		return
-	}
-	w.open, w.closedFor = ev.open, ev.reason
-	if ev.open {
-		w.step(ctx, leafqueue.Open{})
-		return
-	}
-	w.step(ctx, leafqueue.Close{Reason: ev.reason})
-}
-
 func (w *leafWorker) nextWake() time.Duration {
 	now := w.proc.Now()
 	at, ok := w.queue.NextWake(now)
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -4,7 +4,6 @@
 	"time"
 
 	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
-	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
@@ -40,11 +39,8 @@
 	err    error
 }
 
-// accepting opens the leaf to work, or closes it with a reason.
-type accepting struct {
-	open   bool
-	reason errs.Reason
-}
+// accepting says whether the leaf's zone is in service.
+type accepting struct{ inService bool }
 
 // ranked says whether this relay is the one that serves the leaf now: rank 1,
 // or rank 2 while rank 1 does not answer.
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -5,7 +5,6 @@
 	"reflect"
 	"time"
 
-	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/warmup"
 )
 
@@ -53,8 +52,9 @@
 	f.Leaf = w.leaf.ID
 	f.State = string(state)
 	f.Warm = state == warmup.Warm && w.open
-	f.Usable = w.open && w.usable(state) && len(f.IndexVersions) > 0
-	f.Reason = w.reason(state)
+	reason := w.unusable()
+	f.Usable = reason == "" && len(f.IndexVersions) > 0
+	f.Reason = string(reason)
 	f.Baseline = roundBaseline(w.tracker)
 	f.FellBoot = w.tracker.FellBoot()
 	if !reflect.DeepEqual(f, w.told) {
@@ -73,29 +73,6 @@
 	return max(latency.Round(baselineStep), baselineStep)
 }
 
-func (w *leafWorker) usable(state warmup.State) bool {
-	if state == warmup.Down || state == warmup.Leaving {
-		return false
-	}
-	return !w.tracker.NeedsLease() || w.leases.Held(w.leaf.ID)
-}
-
-// reason is why the leaf is not usable, as answers name it.
-func (w *leafWorker) reason(state warmup.State) string {
-	switch {
-	case !w.open:
-		return string(w.closedFor)
-	case state == warmup.Down:
-		return string(errs.ReasonDown)
-	case state == warmup.Leaving:
-		return string(errs.ReasonLeaving)
-	case state == warmup.Cold:
-		return string(errs.ReasonCold)
-	default:
-		return ""
-	}
-}
-
 // inherit takes over what another relay measured.
 func (w *leafWorker) inherit(ev peerFacts) {
 	now := w.proc.Now()
