Serve the old partition map until the leaves serve the new one

Cause: an edit that raises an index's partition generation left every shard without a leaf, because evidence of another generation is ignored, until the leaves had switched. Relays restarted the worker of each leaf whose shard changed and so forgot that it was warm. After: the entry plans by the old map while that covers more, relays send the shard that the query pinned, and a worker stays while its server is the same.

--- a/internal/entry/submit_run.go
+++ b/internal/entry/submit_run.go
@@ -107,8 +107,12 @@
 
 // submitLeaves returns the leaves that may take the request, best first.
 func (s *Server) submitLeaves(r *submission) []topology.LeafID {
-	plan, err := planFor(s.view.Load(), &topology.Class{Index: r.class.Index, Scope: topology.ScopeAll})
-	if err != nil {
+	index := s.view.Load().indexes[r.class.Index]
+	if index == nil {
+		return nil
+	}
+	plan, ok := index.steadyPlan()
+	if !ok {
 		return nil
 	}
 	var out []topology.LeafID
--- a/internal/entry/view_builder.go
+++ b/internal/entry/view_builder.go
@@ -40,6 +40,8 @@
 	current *view
 	table   *leafTable
 	dirty   map[topology.IndexID]bool
+	// retained holds partition maps that were replaced but are still served.
+	retained map[topology.IndexID]*topology.Index
 }
 
 func newViewBuilder(self topology.VMID, zone topology.Zone, hedge hedgeDelays, now func() time.Duration, publish func(*view)) *viewBuilder {
@@ -47,6 +49,7 @@
 		self: self, zone: zone, hedge: hedge, now: now, publish: publish,
 		inputs: make(chan viewInput, inputQueueSize), current: emptyView(),
 		table: newLeafTable(), dirty: make(map[topology.IndexID]bool),
+		retained: make(map[topology.IndexID]*topology.Index),
 	}
 }
 
@@ -87,6 +90,7 @@
 	if b.current.topology != nil && t.Generation < b.current.topology.Generation {
 		return
 	}
+	b.retain(t)
 	next := *b.current
 	next.topology = t
 	b.current = &next
@@ -141,7 +145,7 @@
 			continue
 		}
 		p := planner{view: &next, table: b.table, self: b.self, zone: b.zone, hedge: b.hedge, now: b.now()}
-		next.indexes[id] = p.plan(index)
+		next.indexes[id] = b.planRetained(&p, index)
 	}
 	clear(b.dirty)
 	b.current = &next
--- a/internal/relay/leaf_client.go
+++ b/internal/relay/leaf_client.go
@@ -46,13 +46,13 @@
 }
 
 // run sends one request and waits for its reply. startBy is wall time.
-func (c *leafClient) run(ctx context.Context, req *message.LeafRequest, snap topology.Snapshot, startBy time.Time) leafResult {
+func (c *leafClient) run(ctx context.Context, req *leafRequest, startBy time.Time) leafResult {
 	began := time.Now()
 	var written atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { written.Store(true) },
 	})
-	result := c.send(ctx, req, snap, startBy)
+	result := c.send(ctx, req, startBy)
 	result.runTime = time.Since(began)
 	if result.err != nil && !written.Load() {
 		result.err.NotRun = true
@@ -61,18 +61,18 @@
 	return result
 }
 
-func (c *leafClient) send(ctx context.Context, req *message.LeafRequest, snap topology.Snapshot, startBy time.Time) leafResult {
-	if req.Op == message.OpExecute {
+func (c *leafClient) send(ctx context.Context, req *leafRequest, startBy time.Time) leafResult {
+	if req.message.Op == message.OpExecute {
 		return c.execute(ctx, req, startBy)
 	}
-	return c.search(ctx, req, snap, startBy)
+	return c.search(ctx, req, startBy)
 }
 
-func (c *leafClient) search(ctx context.Context, req *message.LeafRequest, snap topology.Snapshot, startBy time.Time) leafResult {
+func (c *leafClient) search(ctx context.Context, req *leafRequest, startBy time.Time) leafResult {
 	resp, err := c.rpc.Search(ctx, connect.NewRequest(&medlarv1.SearchRequest{
-		Shard: string(c.leaf.Shard), Text: req.Text, RequestId: req.RequestID,
+		Shard: string(req.shard), Text: req.message.Text, RequestId: req.message.RequestID,
 		Snapshot: &medlarv1.Snapshot{
-			IndexVersion: snap.IndexVersion, PartitionGeneration: snap.PartitionGeneration,
+			IndexVersion: req.snapshot.IndexVersion, PartitionGeneration: req.snapshot.PartitionGeneration,
 		},
 		StartByUnixMs: startBy.UnixMilli(),
 	}))
@@ -92,15 +92,15 @@
 	}
 }
 
-func (c *leafClient) execute(ctx context.Context, req *message.LeafRequest, startBy time.Time) leafResult {
+func (c *leafClient) execute(ctx context.Context, req *leafRequest, startBy time.Time) leafResult {
 	resp, err := c.rpc.Execute(ctx, connect.NewRequest(&medlarv1.ExecuteRequest{
-		Shard: string(c.leaf.Shard), RequestId: req.RequestID, Payload: req.Payload,
+		Shard: string(req.shard), RequestId: req.message.RequestID, Payload: req.message.Payload,
 		StartByUnixMs: startBy.UnixMilli(),
 	}))
 	if err != nil {
 		return c.failed(ctx, err)
 	}
-	return leafResult{boot: resp.Msg.GetBootId(), shard: c.leaf.Shard, result: resp.Msg.GetResult()}
+	return leafResult{boot: resp.Msg.GetBootId(), shard: req.shard, result: resp.Msg.GetResult()}
 }
 
 // failed classifies an error. A connection that is lost while neither the
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -125,7 +125,8 @@
 	key := callKey{peer: p, id: env.ID}
 	leave := s.drain.Enter()
 	req := &leafRequest{
-		id: s.nextID.Add(1), message: msg, snapshot: env.Snapshot,
+		id: s.nextID.Add(1), message: msg,
+		shard: topology.ShardID(env.Shard), snapshot: env.Snapshot,
 		startBy: now + msg.StartBy, deadline: now + msg.Deadline,
 	}
 	req.answer = func(r *message.LeafReply) {
--- a/internal/relay/server_config.go
+++ b/internal/relay/server_config.go
@@ -60,7 +60,7 @@
 	}
 	for id, w := range s.workers {
 		leaf, ok := s.topology.Leaves[id]
-		if !ok || *leaf != *w.leaf || !s.ranks(leaf) {
+		if !ok || !sameServer(leaf, w.leaf) || !s.ranks(leaf) {
 			w.stop()
 			delete(s.workers, id)
 			s.hub.drop(id)
@@ -77,6 +77,12 @@
 	}
 }
 
+// sameServer reports whether two generations mean the same upstream server. A
+// repartition changes its shard only; what was measured of it still holds.
+func sameServer(a, b *topology.Leaf) bool {
+	return a.ID == b.ID && a.Index == b.Index && a.Zone == b.Zone && a.Address == b.Address
+}
+
 // ranks reports whether this relay is rank 1 or 2 for a leaf under the current
 // or the previous VM list.
 func (s *Server) ranks(leaf *topology.Leaf) bool {
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -220,7 +220,7 @@
 	delete(w.requests, a.ID)
 	err := errs.New(errs.StepRelayQueue, string(w.leaf.ID), a.Reason, true, "refused by the leaf's queue")
 	w.proc.Events.Add(timeline.KindRefusal, req.message.RequestID, string(w.leaf.ID), string(a.Reason))
-	req.answer(failedReply(w.leaf, err))
+	req.answer(failedReply(req, err))
 }
 
 func (w *leafWorker) nextWake() time.Duration {
@@ -232,9 +232,9 @@
 	return max(at-now, 0)
 }
 
-func failedReply(leaf *topology.Leaf, err *errs.Error) *message.LeafReply {
+func failedReply(req *leafRequest, err *errs.Error) *message.LeafReply {
 	return &message.LeafReply{
-		Leaf: leaf.ID, Shard: leaf.Shard,
+		Leaf: req.message.Leaf, Shard: req.shard,
 		Failure: message.NewFailure(err, err.Step, err.Peer),
 	}
 }
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -34,7 +34,7 @@
 	runCtx, cancel := context.WithTimeout(ctx, req.deadline-now)
 	w.running[id] = cancel
 	go func() {
-		result := w.client.run(runCtx, &req.message, req.snapshot, wall.Add(req.startBy-now))
+		result := w.client.run(runCtx, req, wall.Add(req.startBy-now))
 		cancel()
 		select {
 		case w.inbox <- requestEnded{id: id, result: result}:
@@ -52,7 +52,7 @@
 	now := w.proc.Now()
 	w.transitions(w.tracker.Step(now, outcomeEvent(&ev.result)))
 	w.record(req, &ev.result)
-	req.answer(w.reply(&ev.result))
+	req.answer(w.reply(req, &ev.result))
 	if ev.result.err == nil || ev.result.err.NotRun {
 		w.leases.Ended(w.leaf.ID)
 		w.step(ctx, leafqueue.Done{ID: ev.id})
@@ -106,9 +106,9 @@
 	w.proc.Events.Add(timeline.KindLeafReply, req.message.RequestID, string(w.leaf.ID), r.runTime.String())
 }
 
-func (w *leafWorker) reply(r *leafResult) *message.LeafReply {
+func (w *leafWorker) reply(req *leafRequest, r *leafResult) *message.LeafReply {
 	if r.err != nil {
-		out := failedReply(w.leaf, r.err)
+		out := failedReply(req, r.err)
 		out.Crash = r.reset && !r.unsent
 		return out
 	}
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -69,8 +69,10 @@
 
 // leafRequest is a request on its way through the relay.
 type leafRequest struct {
-	id       uint64
-	message  message.LeafRequest
+	id      uint64
+	message message.LeafRequest
+	// shard and snapshot are those that the query pinned.
+	shard    topology.ShardID
 	snapshot topology.Snapshot
 	// startBy and deadline are on the relay's monotonic clock.
 	startBy  time.Duration
