Do not take a scheduling delay for a cold leaf, and measure costs per query

Cause: medlar-load cost on a busy machine showed leaves with a 1 ms baseline falling to cold, since three replies above 4 ms in a row are common there; of 352 queries to 170 leaves 9 were complete, at 60 queries/s. Ruled out: a longer streak, which delays the fall of leaves that are really cold. Change: a slow reply is also at least 10 ms above the baseline.

--- /dev/null
+++ b/cmd/medlar-load/cost.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
+	"github.com/medlarswitch/medlarswitch/internal/harness"
+	"github.com/medlarswitch/medlarswitch/internal/standin"
+)
+
+const (
+	// costRate keeps the processes busy without a queue.
+	costRate = 20
+	// costLeafRequests is the number of leaf requests measured per fan-out.
+	costLeafRequests = 60_000
+	warmTimeout      = 60 * time.Second
+)
+
+func costCommand() *cli.Command {
+	return &cli.Command{
+		Name: "cost", Usage: "measure the processor time per query by its number of leaves",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the programs"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return cost(ctx, c.String("bin"))
+		},
+	}
+}
+
+// costRow is the processor time that one fan-out took.
+type costRow struct {
+	fanOut  int
+	queries int
+	entry   time.Duration
+	relay   time.Duration
+	direct  time.Duration
+}
+
+func cost(ctx context.Context, bin string) error {
+	dir, err := os.MkdirTemp("", "medlar-cost-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	cluster, err := harness.Start(ctx, harness.Options{Bin: bin, Dir: dir, User: "fanout", VMsPerZone: 2})
+	if err != nil {
+		return err
+	}
+	defer cluster.Kill()
+	if err := cluster.PutAll(ctx); err != nil {
+		return err
+	}
+	if err := cluster.WaitGeneration(ctx, uint64(len(cluster.Fleet.Sections))); err != nil {
+		return err
+	}
+	var rows []costRow
+	for _, n := range standin.FanOuts {
+		row, err := measure(ctx, cluster, n)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, row)
+	}
+	printCosts(rows)
+	return cluster.Stop()
+}
+
+func measure(ctx context.Context, cluster *harness.Cluster, fanOut int) (costRow, error) {
+	class := fmt.Sprintf("fan%d", fanOut)
+	if err := warm(ctx, cluster, class); err != nil {
+		return costRow{}, err
+	}
+	row := costRow{fanOut: fanOut, queries: costLeafRequests / fanOut}
+	entryBefore, relayBefore, err := used(cluster)
+	if err != nil {
+		return row, err
+	}
+	entries := []string{cluster.Fleet.VMAddress(0, standin.PortEntryCallers), cluster.Fleet.VMAddress(1, standin.PortEntryCallers)}
+	report := queries(entries, class, costRate*float64(standin.FanOuts[len(standin.FanOuts)-1])/float64(fanOut), row.queries).Run(ctx)
+	if report.Complete < report.Sent {
+		report.Print(os.Stderr)
+	}
+	entryAfter, relayAfter, err := used(cluster)
+	if err != nil {
+		return row, err
+	}
+	row.entry, row.relay = entryAfter-entryBefore, relayAfter-relayBefore
+	row.direct, err = direct(ctx, cluster, class, row.queries)
+	return row, err
+}
+
+// warm sends queries until one is complete many times over, so that all leaves
+// get their full number of slots.
+func warm(ctx context.Context, cluster *harness.Cluster, class string) error {
+	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	const enough = 100
+	complete := 0
+	return harness.Wait(ctx, "warm leaves", func() error {
+		resp, err := cluster.Query(ctx, complete%2, class, "warm")
+		if err != nil {
+			return err
+		}
+		if resp.GetCoverage().GetCoveredWeight() == resp.GetCoverage().GetTotalWeight() {
+			complete++
+		}
+		if complete < enough {
+			return fmt.Errorf("%d complete answers", complete)
+		}
+		return nil
+	})
+}
+
+func used(cluster *harness.Cluster) (entry, relay time.Duration, err error) {
+	if entry, err = cluster.CPU(harness.RoleEntry); err != nil {
+		return 0, 0, err
+	}
+	relay, err = cluster.CPU(harness.RoleRelay)
+	return entry, relay, err
+}
+
+// direct sends the same leaf requests from this process straight to the leaves
+// and returns the processor time that it used.
+func direct(ctx context.Context, cluster *harness.Cluster, class string, queries int) (time.Duration, error) {
+	var clients []medlarv1connect.LeafServiceClient
+	transport := &http.Transport{MaxIdleConnsPerHost: 8}
+	var shards []string
+	for _, leaf := range cluster.Fleet.Leaves {
+		if len(leaf.Shard) > len(class) && leaf.Shard[:len(class)+1] == class+"-" {
+			clients = append(clients, medlarv1connect.NewLeafServiceClient(&http.Client{Transport: transport}, "http://"+leaf.Address))
+			shards = append(shards, leaf.Shard)
+		}
+	}
+	before, err := harness.SelfCPU()
+	if err != nil {
+		return 0, err
+	}
+	for range queries {
+		var g errgroup.Group
+		for i, client := range clients {
+			g.Go(func() error {
+				_, err := client.Search(ctx, connect.NewRequest(&medlarv1.SearchRequest{
+					Shard: shards[i], Text: "direct",
+					Snapshot: &medlarv1.Snapshot{IndexVersion: 1, PartitionGeneration: 1},
+				}))
+				return err
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return 0, err
+		}
+	}
+	after, err := harness.SelfCPU()
+	return after - before, err
+}
+
+func printCosts(rows []costRow) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "FAN-OUT\tQUERIES\tENTRY us/leaf request\tRELAY us/leaf request\tDIRECT us/leaf request\tPATH / DIRECT\tENTRY us/query")
+	for _, r := range rows {
+		perLeaf := func(d time.Duration) float64 {
+			return float64(d.Microseconds()) / float64(r.queries*r.fanOut)
+		}
+		path := perLeaf(r.entry) + perLeaf(r.relay)
+		fmt.Fprintf(w, "%d\t%d\t%.1f\t%.1f\t%.1f\t%.2f\t%.0f\n", r.fanOut, r.queries, perLeaf(r.entry), perLeaf(r.relay),
+			perLeaf(r.direct), path/perLeaf(r.direct), float64(r.entry.Microseconds())/float64(r.queries))
+	}
+	_ = w.Flush()
+}
--- a/cmd/medlar-standin/main.go
+++ b/cmd/medlar-standin/main.go
@@ -20,7 +20,7 @@
 		Usage:     "stand in for the platform and the upstream leaves in tests",
 		UsageText: "medlar-standin --user valdivia --net 127.66 [--vms-per-zone 3]",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "user", Value: "valdivia", Usage: "size of the installation: valdivia or kelani"},
+			&cli.StringFlag{Name: "user", Value: "valdivia", Usage: "size of the installation: valdivia, kelani or fanout"},
 			&cli.StringFlag{Name: "net", Value: "127.66", Usage: "first two parts of all loopback addresses"},
 			&cli.IntFlag{Name: "vms-per-zone", Value: 3, Usage: "VMs that the list names in each zone"},
 		},
--- a/internal/telemetry/server.go
+++ b/internal/telemetry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,6 +34,8 @@
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", s.ready)
 	mux.HandleFunc("/metrics", s.metrics)
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	mux.Handle(medlarv1connect.NewAdminServiceHandler(s))
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	return s
--- a/internal/warmup/latencies.go
+++ b/internal/warmup/latencies.go
@@ -11,6 +11,10 @@
 	baselineWeight = 1.0 / 64
 	// slowFactor times the baseline is the bound for a reply's latency.
 	slowFactor = 4
+	// minSlowExcess is how far above the baseline a slow reply must be at
+	// least. Scheduling delays of a loaded VM are several milliseconds, and
+	// without it they made leaves with a baseline of 1 ms fall to cold.
+	minSlowExcess = 10 * time.Millisecond
 )
 
 // latencies holds the measurements since the leaf was last cold.
@@ -29,13 +33,17 @@
 func (l *latencies) slow(d time.Duration) bool {
 	switch {
 	case l.baseline.set:
-		return d > slowFactor*l.baseline.value
+		return above(d, l.baseline.value)
 	case l.recent.set:
-		return d > slowFactor*l.lowest
+		return above(d, l.lowest)
 	}
 	return false
 }
 
+func above(d, normal time.Duration) bool {
+	return d > slowFactor*normal && d > normal+minSlowExcess
+}
+
 // add takes in a latency. Slow replies do not move the warm baseline.
 func (l *latencies) add(d time.Duration, slow bool) {
 	first := !l.recent.set
