--- a/cmd/medlar-agent/main.go
+++ b/cmd/medlar-agent/main.go
@@ -50,11 +50,11 @@
 	})
 	frames, err := net.Listen("tcp", cfg.Agent)
 	if err != nil {
-		return err
+		return command.Listen(err, "agent")
 	}
 	admin, err := telemetry.Listen(proc, cfg.Admin, server.Status)
 	if err != nil {
-		return err
+		return command.Listen(err, "admin")
 	}
 	defer admin.Close()
 	return server.Run(ctx, frames)
--- a/cmd/medlar-demo/main.go
+++ b/cmd/medlar-demo/main.go
@@ -35,5 +35,6 @@
 			return nil
 		},
 	}
+	command.Strict(app)
 	os.Exit(command.ExitCode(app.Run(context.Background(), os.Args)))
 }
--- a/cmd/medlar-standin/main.go
+++ b/cmd/medlar-standin/main.go
@@ -26,6 +26,7 @@
 		},
 		Action: run,
 	}
+	command.Strict(app)
 	os.Exit(command.ExitCode(app.Run(context.Background(), os.Args)))
 }
 
--- a/cmd/medlarctl/admin.go
+++ b/cmd/medlarctl/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,11 +24,15 @@
 
 // newPlatform returns the client that the global flags describe.
 func newPlatform(c *cli.Command) (*platform.Client, error) {
-	url := c.String("platform")
-	if url == "" {
-		return nil, command.WithExit(command.ExitUsage, errors.New("--platform or MEDLAR_PLATFORM is required, such as http://10.0.0.1:7000"))
+	const expected = "expected the platform's URL in --platform or MEDLAR_PLATFORM, such as http://10.0.0.1:7000"
+	text := c.String("platform")
+	if text == "" {
+		return nil, command.UsageError(c, "the platform is missing: %s", expected)
 	}
-	return platform.NewClient(url, c.String("team")), nil
+	if u, err := url.Parse(text); err != nil || u.Host == "" || u.Scheme != "http" {
+		return nil, command.UsageError(c, "the platform is %q: %s", text, expected)
+	}
+	return platform.NewClient(text, c.String("team")), nil
 }
 
 // adminReply is the answer of one process, or why there is none.
@@ -46,7 +51,7 @@
 	}
 	view, err := client.VMs(ctx)
 	if err != nil {
-		return nil, err
+		return nil, errors.WithMessage(err, "cannot read the VM list; check --platform, or ask each process at /metrics")
 	}
 	var addrs []string
 	for _, vm := range view.VMs {
--- a/cmd/medlarctl/diff.go
+++ b/cmd/medlarctl/diff.go
@@ -42,7 +42,7 @@
 	for _, l := range strings.Split(b, "\n") {
 		have[l]++
 	}
-	var out []string
+	out := []string{}
 	for _, l := range strings.Split(a, "\n") {
 		if have[l]--; have[l] < 0 {
 			out = append(out, l)
--- a/cmd/medlarctl/query.go
+++ b/cmd/medlarctl/query.go
@@ -15,63 +15,33 @@
 func queryCommand() *cli.Command {
 	return &cli.Command{
 		Name: "query", Usage: "run one query and show its hits and coverage", ArgsUsage: "TEXT",
+		Description: `  medlarctl query --entry 10.0.0.1:8080 --class course-finder "spoon carving"`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Required: true, Usage: "`IP:PORT` at which an entry answers callers"},
-			&cli.StringFlag{Name: "class", Required: true, Usage: "class of the query"},
+			&cli.StringFlag{Name: "class", Required: true, Usage: "`CLASS` of the query"},
+			&cli.IntFlag{Name: "hits", Value: 10, Usage: "print at most `N` hits as text"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			client := medlarv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+c.String("entry"))
 			resp, err := client.Query(ctx, connect.NewRequest(&medlarv1.QueryRequest{Class: c.String("class"), Text: c.Args().First()}))
 			if err != nil {
-				return err
+				return callError(err, c.String("entry"))
 			}
-			return show(c, resp.Msg, func(w io.Writer) { printAnswer(w, resp.Msg) })
+			return show(c, resp.Msg, func(w io.Writer) { printAnswer(w, resp.Msg, c.Int("hits")) })
 		},
 	}
 }
 
-func printAnswer(w io.Writer, m *medlarv1.QueryResponse) {
-	cov := m.GetCoverage()
-	line(w, "request %s: %d hits, coverage %d of %d, index version %d", m.GetRequestId(), len(m.GetHits()), cov.GetCoveredWeight(), cov.GetTotalWeight(), m.GetSnapshot().GetIndexVersion())
+func printAnswer(w io.Writer, m *medlarv1.QueryResponse, limit int) {
+	cov, hits := m.GetCoverage(), m.GetHits()
+	line(w, "request %s: %d hits, coverage %d of %d, index version %d", m.GetRequestId(), len(hits), cov.GetCoveredWeight(), cov.GetTotalWeight(), m.GetSnapshot().GetIndexVersion())
 	for _, s := range cov.GetMissing() {
 		line(w, "missing\t%s\t%s", s.GetShard(), s.GetReason())
 	}
-	for _, h := range m.GetHits() {
+	for _, h := range hits[:min(len(hits), max(limit, 0))] {
 		line(w, "hit\t%s\t%.3f", h.GetKey(), h.GetScore())
 	}
-}
-
-func submitCommand() *cli.Command {
-	return &cli.Command{
-		Name: "submit", Usage: "run one non-idempotent request at most once", ArgsUsage: "PAYLOAD",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "entry", Required: true, Usage: "`IP:PORT` at which an entry answers callers"},
-			&cli.StringFlag{Name: "class", Required: true, Usage: "class of the request"},
-			&cli.StringFlag{Name: "shard", Usage: "shard that the request changes"},
-			&cli.StringFlag{Name: "ticket", Usage: "repeat the request of this `TICKET` instead of starting a new one"},
-		},
-		Action: submit,
-	}
-}
-
-func submit(ctx context.Context, c *cli.Command) error {
-	client := medlarv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+c.String("entry"))
-	ticket := c.String("ticket")
-	if ticket == "" {
-		begun, err := client.BeginSubmit(ctx, connect.NewRequest(&medlarv1.BeginSubmitRequest{Class: c.String("class")}))
-		if err != nil {
-			return err
-		}
-		ticket = begun.Msg.GetTicket()
-	}
-	resp, err := client.Submit(ctx, connect.NewRequest(&medlarv1.SubmitRequest{
-		Ticket: ticket, Class: c.String("class"), Shard: c.String("shard"), Payload: []byte(c.Args().First()),
-	}))
-	if err != nil {
-		return err
+	if more := len(hits) - limit; more > 0 {
+		line(w, "and %d more hits: see --hits", more)
 	}
-	return show(c, resp.Msg, func(w io.Writer) {
-		line(w, "ticket\t%s", ticket)
-		line(w, "outcome\t%s\t%s\t%s", resp.Msg.GetOutcome(), resp.Msg.GetResult(), resp.Msg.GetReason())
-	})
 }
--- a/cmd/medlarctl/section.go
+++ b/cmd/medlarctl/section.go
@@ -11,6 +11,7 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/command"
 	"github.com/medlarswitch/medlarswitch/internal/configedit"
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
 	"github.com/medlarswitch/medlarswitch/internal/editor"
 	"github.com/medlarswitch/medlarswitch/internal/servicedoc"
 )
@@ -20,15 +21,30 @@
 		Name: "section", Usage: "read and edit the sections of the service document",
 		Commands: []*cli.Command{
 			{Name: "list", Usage: "list the sections with their versions", Action: sectionList},
-			{Name: "get", Usage: "print a section", ArgsUsage: "SECTION", Action: sectionGet},
-			{Name: "put", Usage: "replace a section with a file, - for standard input", ArgsUsage: "SECTION FILE", Action: sectionPut},
-			{Name: "check", Usage: "check the whole document with a section replaced, without editing it", ArgsUsage: "SECTION FILE", Action: sectionCheck},
+			{Name: "get", Usage: "print a section", ArgsUsage: "SECTION", Action: sectionGet,
+				Description: "  medlarctl section get zones > zones.toml"},
+			{Name: "put", Usage: "replace a section with a file, - for standard input", ArgsUsage: "SECTION FILE", Action: sectionPut,
+				Flags: []cli.Flag{fromFlag()}, Description: putDescription},
+			{Name: "check", Usage: "check the whole document with a section replaced, without editing it", ArgsUsage: "SECTION FILE", Action: sectionCheck,
+				Flags: []cli.Flag{fromFlag()}, Description: "  medlarctl section check zones zones.toml"},
 			{Name: "diff", Usage: "show the lines in which a file differs from a section", ArgsUsage: "SECTION FILE", Action: sectionDiff},
 			{Name: "history", Usage: "list the last accepted edits", ArgsUsage: "[SECTION]", Action: sectionHistory},
 		},
 	}
 }
 
+const putDescription = `An edit is accepted as a whole or refused as a whole. Every problem is named
+with its section, line and key. --from refuses the edit when another one came
+between your 'section get' and now.
+
+  medlarctl section list                     # shows the version of each section
+  medlarctl section get zones > zones.toml
+  medlarctl section put --from mm0ihtdvtei8 zones zones.toml`
+
+func fromFlag() cli.Flag {
+	return &cli.StringFlag{Name: "from", Usage: "refuse the edit unless `VERSION` is the section's current one"}
+}
+
 // newEditor returns the editor and the current document.
 func newEditor(ctx context.Context, c *cli.Command) (*editor.Editor, editor.Document, error) {
 	client, err := newPlatform(c)
@@ -37,7 +53,10 @@
 	}
 	e := editor.New(client, c.String("team"))
 	doc, err := e.Read(ctx)
-	return e, doc, err
+	if err != nil {
+		return nil, doc, errors.WithMessage(err, "cannot read the service document; nothing was changed; check --platform and try again")
+	}
+	return e, doc, nil
 }
 
 func sectionList(ctx context.Context, c *cli.Command) error {
@@ -47,6 +66,7 @@
 	}
 	return show(c, doc.Manifest, func(w io.Writer) {
 		line(w, "generation\t%d", doc.Manifest.Generation)
+		line(w, "SECTION\tVERSION\tSIZE")
 		for i, ref := range doc.Manifest.Sections {
 			line(w, "%s\t%s\t%d bytes", ref.Name, ref.EditID, len(doc.Sections[i].Text))
 		}
@@ -62,8 +82,14 @@
 	if !ok {
 		return command.WithExit(command.ExitFailed, errors.Errorf("section %q does not exist: see 'medlarctl section list'", c.Args().First()))
 	}
-	_, err = os.Stdout.Write(text)
-	return err
+	current, _ := doc.Manifest.Find(c.Args().First())
+	value := struct {
+		Section    string `json:"section"`
+		EditID     string `json:"edit_id"`
+		Generation uint64 `json:"generation"`
+		Text       string `json:"text"`
+	}{c.Args().First(), current.EditID, doc.Manifest.Generation, string(text)}
+	return show(c, value, func(w io.Writer) { _, _ = w.Write(text) })
 }
 
 func sectionPut(ctx context.Context, c *cli.Command) error {
@@ -75,30 +101,44 @@
 	if err != nil {
 		return err
 	}
-	return apply(ctx, c, e, doc, c.Args().First(), text)
+	return apply(ctx, c, e, doc, newEdit(c, e, doc, c.Args().First(), text))
 }
 
 // apply makes an edit and reports what became of it.
-func apply(ctx context.Context, c *cli.Command, e *editor.Editor, doc editor.Document, section string, text []byte) error {
-	edit := e.NewEdit(doc, section, text)
+func apply(ctx context.Context, c *cli.Command, e *editor.Editor, doc editor.Document, edit configedit.Edit) error {
 	generation, err := e.Apply(ctx, doc, edit)
 	var problems servicedoc.Problems
 	if errors.As(err, &problems) {
-		return command.WithExit(command.ExitSettings, err)
+		return refused(problems)
 	}
 	if err != nil {
-		return command.WithExit(command.ExitFailed, err)
+		return errors.WithMessagef(err, "edit %s of section %s", edit.ID, edit.Section)
 	}
 	accepted := struct {
 		Section    string `json:"section"`
 		EditID     string `json:"edit_id"`
 		Generation uint64 `json:"generation"`
-	}{section, edit.ID, generation}
+	}{edit.Section, edit.ID, generation}
 	return show(c, accepted, func(w io.Writer) {
-		line(w, "accepted: section %s, edit %s, generation %d", section, edit.ID, generation)
+		line(w, "accepted: section %s, edit %s, generation %d", edit.Section, edit.ID, generation)
 	})
 }
 
+// newEdit returns an edit of the version that --from names, or else of the
+// current one.
+func newEdit(c *cli.Command, e *editor.Editor, doc editor.Document, section string, text []byte) configedit.Edit {
+	edit := e.NewEdit(doc, section, text)
+	if from := c.String("from"); from != "" {
+		edit.From = from
+	}
+	return edit
+}
+
+// refused lists the problems of an edit, one a line.
+func refused(problems servicedoc.Problems) error {
+	return command.WithExit(command.ExitSettings, errors.Errorf("the edit is refused, nothing was changed:\n%v", problems))
+}
+
 func sectionCheck(ctx context.Context, c *cli.Command) error {
 	e, doc, err := newEditor(ctx, c)
 	if err != nil {
@@ -108,9 +148,9 @@
 	if err != nil {
 		return err
 	}
-	_, problems := configedit.Decide(doc.Base, e.NewEdit(doc, c.Args().First(), text))
+	_, problems := configedit.Decide(doc.Base, newEdit(c, e, doc, c.Args().First(), text))
 	if len(problems) > 0 {
-		return command.WithExit(command.ExitSettings, problems)
+		return refused(problems)
 	}
 	return show(c, map[string]bool{"valid": true}, func(w io.Writer) { line(w, "the edit would be accepted") })
 }
@@ -120,12 +160,16 @@
 	if err != nil {
 		return err
 	}
-	return show(c, doc.Manifest.Edits, func(w io.Writer) {
+	edits := []confsync.Edit{}
+	for _, edit := range doc.Manifest.Edits {
+		if wanted(c.Args().First(), edit.Section) {
+			edits = append(edits, edit)
+		}
+	}
+	return show(c, edits, func(w io.Writer) {
 		line(w, "GENERATION\tAT\tSECTION\tTEAM\tEDIT")
-		for _, edit := range doc.Manifest.Edits {
-			if wanted(c.Args().First(), edit.Section) {
-				line(w, "%d\t%s\t%s\t%s\t%s", edit.Generation, time.UnixMilli(edit.At).Format(time.RFC3339), edit.Section, edit.Team, edit.EditID)
-			}
+		for _, edit := range edits {
+			line(w, "%d\t%s\t%s\t%s\t%s", edit.Generation, time.UnixMilli(edit.At).Format(time.RFC3339), edit.Section, edit.Team, edit.EditID)
 		}
 	})
 }
@@ -141,11 +185,12 @@
 
 // readArg reads the file that the second argument names.
 func readArg(c *cli.Command) ([]byte, error) {
-	if c.Args().Len() != 2 {
-		return nil, command.WithExit(command.ExitUsage, errors.New("expected SECTION and FILE"))
-	}
 	if c.Args().Get(1) == "-" {
 		return io.ReadAll(os.Stdin)
 	}
-	return os.ReadFile(c.Args().Get(1))
+	text, err := os.ReadFile(c.Args().Get(1))
+	if err != nil {
+		return nil, command.WithExit(command.ExitSettings, errors.WithMessage(err, "cannot read the section; nothing was changed"))
+	}
+	return text, nil
 }
--- /dev/null
+++ b/cmd/medlarctl/submit.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
+)
+
+func submitCommand() *cli.Command {
+	return &cli.Command{
+		Name: "submit", Usage: "run one non-idempotent request at most once", ArgsUsage: "PAYLOAD",
+		Description: `The ticket is printed with every outcome and every failure. Repeat with it, not
+without it: without it the request gets a new ticket and may run a second time.
+
+  medlarctl submit --entry 10.0.0.1:8080 --class enrol --shard enrolment-01 "student 17"
+  medlarctl submit --entry 10.0.0.2:8080 --class enrol --shard enrolment-01 --ticket T "student 17"`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "entry", Required: true, Usage: "`IP:PORT` at which an entry answers callers"},
+			&cli.StringFlag{Name: "class", Required: true, Usage: "`CLASS` of the request"},
+			&cli.StringFlag{Name: "shard", Usage: "`SHARD` that the request changes"},
+			&cli.StringFlag{Name: "ticket", Usage: "repeat the request of this `TICKET` instead of starting a new one"},
+		},
+		Action: submit,
+	}
+}
+
+// submitView is an outcome as JSON shows it.
+type submitView struct {
+	Ticket    string `json:"ticket"`
+	Outcome   string `json:"outcome"`
+	Result    string `json:"result"`
+	Reason    string `json:"reason"`
+	Repeated  bool   `json:"repeated_call"`
+	RequestID string `json:"request_id"`
+}
+
+func submit(ctx context.Context, c *cli.Command) error {
+	entry := c.String("entry")
+	client := medlarv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+entry)
+	ticket := c.String("ticket")
+	if ticket == "" {
+		begun, err := client.BeginSubmit(ctx, connect.NewRequest(&medlarv1.BeginSubmitRequest{Class: c.String("class")}))
+		if err != nil {
+			return errors.WithMessage(callError(err, entry), "no ticket was issued, nothing ran")
+		}
+		ticket = begun.Msg.GetTicket()
+	}
+	resp, err := client.Submit(ctx, connect.NewRequest(&medlarv1.SubmitRequest{
+		Ticket: ticket, Class: c.String("class"), Shard: c.String("shard"), Payload: []byte(c.Args().First()),
+	}))
+	if err != nil {
+		return errors.Errorf("%v\nrepeat with: --ticket %s", callError(err, entry), ticket)
+	}
+	m := resp.Msg
+	view := submitView{
+		Ticket: ticket, Outcome: outcomeName(m.GetOutcome()), Result: string(m.GetResult()),
+		Reason: m.GetReason(), Repeated: m.GetRepeatedCall(), RequestID: m.GetRequestId(),
+	}
+	return show(c, view, func(w io.Writer) {
+		line(w, "ticket\t%s", view.Ticket)
+		line(w, "outcome\t%s", view.Outcome)
+		line(w, "result\t%s", view.Result)
+		line(w, "reason\t%s", view.Reason)
+		line(w, "repeated\t%t", view.Repeated)
+	})
+}
+
+// outcomeName returns "done", "not-run" or "unknown".
+func outcomeName(o medlarv1.SubmitOutcome) string {
+	name := strings.TrimPrefix(o.String(), "SUBMIT_OUTCOME_")
+	return strings.ToLower(strings.ReplaceAll(name, "_", "-"))
+}
--- a/cmd/medlarctl/timeline.go
+++ b/cmd/medlarctl/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sort"
 	"time"
@@ -16,11 +17,17 @@
 func timelineCommand() *cli.Command {
 	return &cli.Command{
 		Name: "timeline", Usage: "merge the events of all processes into one order",
+		Description: `Columns: wall time, process and VM, kind, subject, detail, request. Long details
+are cut; '--output json' has them whole.
+
+  medlarctl timeline --request vm-1-be9735efe1ba2c60-15
+  medlarctl timeline --kind warm-up --subject enrolment-07-1
+  medlarctl timeline --kind in-force --last 9`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "request", Usage: "only the events of request `ID`"},
-			&cli.StringFlag{Name: "kind", Usage: "only events of this `KIND`, such as in-force or zone-out"},
+			&cli.StringFlag{Name: "kind", Usage: "only events of this `KIND`, such as in-force, warm-up, refusal or query-done"},
 			&cli.StringFlag{Name: "subject", Usage: "only events about this `SUBJECT`, such as a leaf"},
-			&cli.IntFlag{Name: "last", Value: 200, Usage: "print at most `N` events, the latest"},
+			&cli.IntFlag{Name: "last", Value: 40, Usage: "print at most `N` events, the latest"},
 		},
 		Action: timeline,
 	}
@@ -38,11 +45,11 @@
 		return err
 	}
 	events := mergeEvents(c, replies)
-	return show(c, events, func(w io.Writer) { printEvents(w, events, replies) })
+	return show(c, events, func(w io.Writer) { printEvents(w, events, replies, c.String("request") == "") })
 }
 
 func mergeEvents(c *cli.Command, replies []adminReply[*medlarv1.EventsResponse]) []*medlarv1.Event {
-	var out []*medlarv1.Event
+	out := []*medlarv1.Event{}
 	for _, r := range replies {
 		for _, e := range r.Message.GetEvents() {
 			if wanted(c.String("kind"), e.GetKind()) && wanted(c.String("subject"), e.GetSubject()) {
@@ -56,15 +63,33 @@
 		}
 		return out[i].GetLogical() < out[j].GetLogical()
 	})
-	return out[max(0, len(out)-c.Int("last")):]
+	return out[max(0, len(out)-max(0, c.Int("last"))):]
 }
 
 func wanted(filter, value string) bool { return filter == "" || filter == value }
 
-func printEvents(w io.Writer, events []*medlarv1.Event, replies []adminReply[*medlarv1.EventsResponse]) {
+// maxDetail keeps an event on one line of a screen.
+const maxDetail = 60
+
+func cut(detail string) string {
+	runes := []rune(detail)
+	if len(runes) <= maxDetail {
+		return detail
+	}
+	return string(runes[:maxDetail-3]) + "..."
+}
+
+func printEvents(w io.Writer, events []*medlarv1.Event, replies []adminReply[*medlarv1.EventsResponse], withRequest bool) {
 	for _, e := range events {
 		at := time.Unix(0, e.GetWallNs()).Format("15:04:05.000000")
-		line(w, "%s\t%s %s\t%s\t%s\t%s\t%s", at, e.GetProcess(), e.GetVm(), e.GetKind(), e.GetSubject(), e.GetDetail(), e.GetRequestId())
+		text := fmt.Sprintf("%s\t%s %s\t%s\t%s\t%s", at, e.GetProcess(), e.GetVm(), e.GetKind(), e.GetSubject(), cut(e.GetDetail()))
+		if withRequest && e.GetRequestId() != "" {
+			text += "\t" + e.GetRequestId()
+		}
+		line(w, "%s", text)
+	}
+	if len(events) == 0 {
+		line(w, "no process holds an event that matches")
 	}
 	for _, r := range replies {
 		if r.Error != "" {
--- a/cmd/medlarctl/zone.go
+++ b/cmd/medlarctl/zone.go
@@ -16,8 +16,8 @@
 	return &cli.Command{
 		Name: "zone", Usage: "take an availability zone out of service or bring it back",
 		Commands: []*cli.Command{
-			{Name: "out", Usage: "give a zone no new work", ArgsUsage: "ZONE", Action: setZone("out")},
-			{Name: "in", Usage: "bring a zone back; its leaves warm up", ArgsUsage: "ZONE", Action: setZone("in")},
+			{Name: "out", Usage: "give a zone no new work", ArgsUsage: "ZONE", Action: setZone("out"), Description: "  medlarctl zone out osorno"},
+			{Name: "in", Usage: "bring a zone back; its leaves warm up", ArgsUsage: "ZONE", Action: setZone("in"), Description: "  medlarctl zone in osorno"},
 		},
 	}
 }
@@ -35,7 +35,7 @@
 		if err != nil {
 			return command.WithExit(command.ExitFailed, err)
 		}
-		return apply(ctx, c, e, doc, zonesSection, []byte(next))
+		return apply(ctx, c, e, doc, e.NewEdit(doc, zonesSection, []byte(next)))
 	}
 }
 
@@ -57,5 +57,5 @@
 		}
 		return text[:from] + stateLine.ReplaceAllString(text[from:to], `${1}"`+state+`"`) + text[to:], nil
 	}
-	return "", errors.Errorf("zone %q is not in section zones", zone)
+	return "", errors.Errorf("zone %q is not in section zones, nothing was changed: see 'medlarctl section get zones'", zone)
 }
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -7,9 +7,11 @@
 	"os"
 	"strconv"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
 )
 
@@ -26,6 +28,12 @@
 
 // Main runs the program with the process's arguments and returns its exit code.
 func (d *Daemon) Main() int {
+	err := d.run(os.Args)
+	klog.Flush()
+	return ExitCode(err)
+}
+
+func (d *Daemon) run(args []string) error {
 	app := &cli.Command{
 		Name: d.Name, Usage: d.Usage, Description: d.Description, Version: Version,
 		UsageText: d.Name + " --settings FILE [--check]",
@@ -35,15 +43,14 @@
 		},
 		Action: d.start,
 	}
-	err := app.Run(context.Background(), os.Args)
-	klog.Flush()
-	return ExitCode(err)
+	Strict(app)
+	return app.Run(context.Background(), args)
 }
 
 func (d *Daemon) start(ctx context.Context, c *cli.Command) error {
 	run, verbosity, err := d.Load(c.String("settings"))
 	if err != nil {
-		return WithExit(ExitSettings, err)
+		return WithExit(ExitSettings, d.invalid(c.String("settings"), err))
 	}
 	if c.Bool("check") {
 		fmt.Println("settings are valid")
@@ -60,6 +67,15 @@
 	return nil
 }
 
+// invalid lists the problems of the settings, one a line.
+func (d *Daemon) invalid(path string, err error) error {
+	var e *errs.Error
+	if errors.As(err, &e) {
+		err = e.Err
+	}
+	return errors.Errorf("the settings in %s are not valid, nothing was started:\n%v\nexample: %s --help", path, err, d.Name)
+}
+
 func setVerbosity(level int) {
 	var flags flag.FlagSet
 	klog.InitFlags(&flags)
--- a/internal/command/error.go
+++ b/internal/command/error.go
@@ -20,6 +20,11 @@
 // WithExit gives an error an exit code.
 func WithExit(code int, err error) error { return exitError{error: err, code: code} }
 
+// Listen names the setting whose address could not be taken.
+func Listen(err error, key string) error {
+	return errors.WithMessagef(err, "setting %q: expected an address of this VM that no other process uses", key)
+}
+
 // ExitCode prints an error and returns the exit code that it leads to.
 func ExitCode(err error) int {
 	if err == nil {
@@ -30,9 +35,10 @@
 	if errors.As(err, &e) {
 		return e.code
 	}
+	// The library gives exit code 3 to an unknown help topic.
 	var coder cli.ExitCoder
 	if errors.As(err, &coder) {
-		return coder.ExitCode()
+		return ExitUsage
 	}
-	return ExitUsage
+	return ExitFailed
 }
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -2,6 +2,7 @@
 
 // Exit codes of the programs.
 const (
+	// ExitFailed means that a correct command could not be carried out.
 	ExitFailed = 1
 	// ExitUsage means that the command line is wrong.
 	ExitUsage = 2
