--- a/cmd/medlarctl/status.go
+++ b/cmd/medlarctl/status.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// worstFirst puts leaves that nothing can use before those that wait for work.
+func worstFirst(lines []leafLine, best map[string]string) {
+	sort.SliceStable(lines, func(i, j int) bool {
+		return rank(best[lines[i].leaf]) > rank(best[lines[j].leaf])
+	})
+}
+
 // leafLine is what one relay says of one leaf.
 type leafLine struct{ leaf, relay, state, reason string }
 
@@ -157,6 +164,9 @@
 
 func leafRows(lines []leafLine, all bool) []string {
 	best := bestStates(lines)
+	if !all {
+		worstFirst(lines, best)
+	}
 	var rows []string
 	for _, l := range lines {
 		if all || best[l.leaf] != "warm" {
