--- a/cmd/medlarctl/admin.go
+++ b/cmd/medlarctl/admin.go
@@ -6,7 +6,6 @@
 	"net/url"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -35,6 +34,14 @@
 	return platform.NewClient(text, c.String("team")), nil
 }
 
+// needTeam refuses an edit without a team.
+func needTeam(c *cli.Command) error {
+	if c.String("team") == "" {
+		return command.UsageError(c, "the team is missing: expected your team's name in --team or MEDLAR_TEAM; 'medlarctl section get owners' lists them")
+	}
+	return nil
+}
+
 // adminReply is the answer of one process, or why there is none.
 type adminReply[T any] struct {
 	Address string `json:"address"`
@@ -75,7 +82,7 @@
 	client := medlarv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+addr)
 	msg, err := call(ctx, client)
 	if err != nil {
-		return adminReply[T]{Address: addr, Error: connect.CodeOf(err).String() + ": " + err.Error()}
+		return adminReply[T]{Address: addr, Error: err.Error()}
 	}
 	return adminReply[T]{Address: addr, Message: msg}
 }
--- a/cmd/medlarctl/call_error.go
+++ b/cmd/medlarctl/call_error.go
@@ -19,20 +19,27 @@
 	errs.ReasonDraining:    "try another entry",
 }
 
+// What is known of a request.
+const (
+	mayHaveRun = "the request may have run"
+	didNotRun  = "the request did not run"
+)
+
 // callError explains the error of a call to an entry: the step, the peer,
-// whether the request may have run, and what to do.
-func callError(err error, entry string) error {
+// whether the request ran, and what to do. without says what is known of the
+// request when the entry did not answer.
+func callError(err error, entry, without string) error {
 	var ce *connect.Error
 	if !errors.As(err, &ce) {
 		return errors.Errorf("call of %s: %v", entry, err)
 	}
 	detail := errorDetail(ce)
 	if detail == nil {
-		return errors.Errorf("call of %s: %v\nstep: no answer from the entry; the request may have run\nwhat to do: check --entry, the address of the setting \"callers\"", entry, err)
+		return errors.Errorf("call of %s: %v\nstep: no answer from the entry; %s\nwhat to do: check --entry, the address of the setting \"callers\"; see 'medlarctl status'", entry, err, without)
 	}
-	run := "the request may have run"
+	run := mayHaveRun
 	if detail.GetNotRun() {
-		run = "the request did not run"
+		run = didNotRun
 	}
 	hint, ok := advice[errs.Reason(detail.GetReason())]
 	if !ok {
--- a/cmd/medlarctl/query.go
+++ b/cmd/medlarctl/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
@@ -19,19 +20,30 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Required: true, Usage: "`IP:PORT` at which an entry answers callers"},
 			&cli.StringFlag{Name: "class", Required: true, Usage: "`CLASS` of the query"},
+			timeoutFlag(),
 			&cli.IntFlag{Name: "hits", Value: 10, Usage: "print at most `N` hits as text"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+			defer cancel()
 			client := medlarv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+c.String("entry"))
 			resp, err := client.Query(ctx, connect.NewRequest(&medlarv1.QueryRequest{Class: c.String("class"), Text: c.Args().First()}))
 			if err != nil {
-				return callError(err, c.String("entry"))
+				return callError(err, c.String("entry"), mayHaveRun)
 			}
 			return show(c, resp.Msg, func(w io.Writer) { printAnswer(w, resp.Msg, c.Int("hits")) })
 		},
 	}
 }
 
+// callTimeout is above the longest time that a planned stop waits for a
+// request.
+const callTimeout = 40 * time.Second
+
+func timeoutFlag() cli.Flag {
+	return &cli.DurationFlag{Name: "timeout", Value: callTimeout, Usage: "give up after this `TIME`; the request may run on"}
+}
+
 func printAnswer(w io.Writer, m *medlarv1.QueryResponse, limit int) {
 	cov, hits := m.GetCoverage(), m.GetHits()
 	line(w, "request %s: %d hits, coverage %d of %d, index version %d", m.GetRequestId(), len(hits), cov.GetCoveredWeight(), cov.GetTotalWeight(), m.GetSnapshot().GetIndexVersion())
--- a/cmd/medlarctl/section.go
+++ b/cmd/medlarctl/section.go
@@ -93,6 +93,9 @@
 }
 
 func sectionPut(ctx context.Context, c *cli.Command) error {
+	if err := needTeam(c); err != nil {
+		return err
+	}
 	e, doc, err := newEditor(ctx, c)
 	if err != nil {
 		return err
@@ -114,16 +117,27 @@
 	if err != nil {
 		return errors.WithMessagef(err, "edit %s of section %s", edit.ID, edit.Section)
 	}
-	accepted := struct {
-		Section    string `json:"section"`
-		EditID     string `json:"edit_id"`
-		Generation uint64 `json:"generation"`
-	}{edit.Section, edit.ID, generation}
+	accepted := editView{Section: edit.Section, EditID: edit.ID, Generation: generation, Changed: true}
 	return show(c, accepted, func(w io.Writer) {
 		line(w, "accepted: section %s, edit %s, generation %d", edit.Section, edit.ID, generation)
 	})
 }
 
+// editView is an edit as JSON shows it.
+type editView struct {
+	Section    string `json:"section"`
+	EditID     string `json:"edit_id"`
+	Generation uint64 `json:"generation"`
+	Changed    bool   `json:"changed"`
+}
+
+// unchanged reports that no edit was needed.
+func unchanged(c *cli.Command, doc editor.Document, message string) error {
+	current, _ := doc.Manifest.Find(zonesSection)
+	view := editView{Section: zonesSection, EditID: current.EditID, Generation: doc.Manifest.Generation}
+	return show(c, view, func(w io.Writer) { line(w, "%s", message) })
+}
+
 // newEdit returns an edit of the version that --from names, or else of the
 // current one.
 func newEdit(c *cli.Command, e *editor.Editor, doc editor.Document, section string, text []byte) configedit.Edit {
@@ -140,6 +154,9 @@
 }
 
 func sectionCheck(ctx context.Context, c *cli.Command) error {
+	if err := needTeam(c); err != nil {
+		return err
+	}
 	e, doc, err := newEditor(ctx, c)
 	if err != nil {
 		return err
--- a/cmd/medlarctl/submit.go
+++ b/cmd/medlarctl/submit.go
@@ -25,6 +25,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Required: true, Usage: "`IP:PORT` at which an entry answers callers"},
 			&cli.StringFlag{Name: "class", Required: true, Usage: "`CLASS` of the request"},
+			timeoutFlag(),
 			&cli.StringFlag{Name: "shard", Usage: "`SHARD` that the request changes"},
 			&cli.StringFlag{Name: "ticket", Usage: "repeat the request of this `TICKET` instead of starting a new one"},
 		},
@@ -43,13 +44,15 @@
 }
 
 func submit(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
 	entry := c.String("entry")
 	client := medlarv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+entry)
 	ticket := c.String("ticket")
 	if ticket == "" {
 		begun, err := client.BeginSubmit(ctx, connect.NewRequest(&medlarv1.BeginSubmitRequest{Class: c.String("class")}))
 		if err != nil {
-			return errors.WithMessage(callError(err, entry), "no ticket was issued, nothing ran")
+			return errors.WithMessage(callError(err, entry, didNotRun), "no ticket")
 		}
 		ticket = begun.Msg.GetTicket()
 	}
@@ -57,7 +60,7 @@
 		Ticket: ticket, Class: c.String("class"), Shard: c.String("shard"), Payload: []byte(c.Args().First()),
 	}))
 	if err != nil {
-		return errors.Errorf("%v\nrepeat with: --ticket %s", callError(err, entry), ticket)
+		return errors.Errorf("%v\nrepeat with: --ticket %s", callError(err, entry, mayHaveRun), ticket)
 	}
 	m := resp.Msg
 	view := submitView{
--- a/cmd/medlarctl/zone.go
+++ b/cmd/medlarctl/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"regexp"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,9 @@
 // of the text, with its comments, as it is.
 func setZone(state string) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
+		if err := needTeam(c); err != nil {
+			return err
+		}
 		e, doc, err := newEditor(ctx, c)
 		if err != nil {
 			return err
@@ -35,6 +39,9 @@
 		if err != nil {
 			return command.WithExit(command.ExitFailed, err)
 		}
+		if next == string(text) {
+			return unchanged(c, doc, fmt.Sprintf("zone %s is %s already, nothing was changed", c.Args().First(), state))
+		}
 		return apply(ctx, c, e, doc, e.NewEdit(doc, zonesSection, []byte(next)))
 	}
 }
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -26,6 +26,13 @@
 	Load func(path string) (run func(ctx context.Context) error, verbosity int, err error)
 }
 
+const exitCodes = `
+
+Every key is required. SIGTERM or SIGINT stops the program gracefully.
+
+Exit codes: 0 stopped gracefully or settings valid, 1 failed, 2 wrong command
+line, 3 settings not valid and nothing started.`
+
 // Main runs the program with the process's arguments and returns its exit code.
 func (d *Daemon) Main() int {
 	err := d.run(os.Args)
@@ -35,7 +42,7 @@
 
 func (d *Daemon) run(args []string) error {
 	app := &cli.Command{
-		Name: d.Name, Usage: d.Usage, Description: d.Description, Version: Version,
+		Name: d.Name, Usage: d.Usage, Description: d.Description + exitCodes, Version: Version,
 		UsageText: d.Name + " --settings FILE [--check]",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE` (TOML)", Required: true},
