--- a/internal/command/examples_test.go
+++ b/internal/command/examples_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/medlarswitch/medlarswitch/internal/servicedoc"
 	"github.com/medlarswitch/medlarswitch/internal/settings"
 )
 
@@ -34,6 +35,18 @@
 	}
 }
 
+// An example of the service document that is refused stops the first edit.
+func TestExampleOfServiceDocument(t *testing.T) {
+	page := read(t, "../../docs/operating.md")
+	var sections []servicedoc.Section
+	for _, name := range []string{"zones", "owners", "index.roster", "classes"} {
+		text := between(t, page, "```toml\n# section "+name+"\n", "```")
+		sections = append(sections, servicedoc.Section{Name: name, Text: []byte(text)})
+	}
+	_, problems := servicedoc.Check(sections)
+	assert.NilError(t, problems.Err())
+}
+
 func load[T any, V settings.Validator[T]](path string) error {
 	_, err := settings.Load[T, V](path)
 	return err
