--- a/cmd/medlarctl/admin.go
+++ b/cmd/medlarctl/admin.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -23,11 +23,23 @@
 
 // newPlatform returns the client that the global flags describe.
 func newPlatform(c *cli.Command) (*platform.Client, error) {
-	url := c.String("platform")
-	if url == "" {
-		return nil, command.WithExit(command.ExitUsage, errors.New("--platform or MEDLAR_PLATFORM is required, such as http://10.0.0.1:7000"))
+	const expected = "expected the platform's URL in --platform or MEDLAR_PLATFORM, such as http://10.0.0.1:7000"
+	text := c.String("platform")
+	if text == "" {
+		return nil, command.UsageError(c, "the platform is missing: %s", expected)
 	}
-	return platform.NewClient(url, c.String("team")), nil
+	if u, err := url.Parse(text); err != nil || u.Host == "" || u.Scheme != "http" {
+		return nil, command.UsageError(c, "the platform is %q: %s", text, expected)
+	}
+	return platform.NewClient(text, c.String("team")), nil
+}
+
+// needTeam refuses an edit without a team.
+func needTeam(c *cli.Command) error {
+	if c.String("team") == "" {
+		return command.UsageError(c, "the team is missing: expected your team's name in --team or MEDLAR_TEAM; 'medlarctl section get owners' lists them")
+	}
+	return nil
 }
 
 // adminReply is the answer of one process, or why there is none.
@@ -46,7 +58,7 @@
 	}
 	view, err := client.VMs(ctx)
 	if err != nil {
-		return nil, err
+		return nil, errors.WithMessage(err, "cannot read the VM list; check --platform, or ask each process at /metrics")
 	}
 	var addrs []string
 	for _, vm := range view.VMs {
@@ -70,7 +82,7 @@
 	client := medlarv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+addr)
 	msg, err := call(ctx, client)
 	if err != nil {
-		return adminReply[T]{Address: addr, Error: connect.CodeOf(err).String() + ": " + err.Error()}
+		return adminReply[T]{Address: addr, Error: err.Error()}
 	}
 	return adminReply[T]{Address: addr, Message: msg}
 }
--- a/cmd/medlarctl/zone.go
+++ b/cmd/medlarctl/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"regexp"
 
 	"github.com/pkg/errors"
@@ -16,8 +17,8 @@
 	return &cli.Command{
 		Name: "zone", Usage: "take an availability zone out of service or bring it back",
 		Commands: []*cli.Command{
-			{Name: "out", Usage: "give a zone no new work", ArgsUsage: "ZONE", Action: setZone("out")},
-			{Name: "in", Usage: "bring a zone back; its leaves warm up", ArgsUsage: "ZONE", Action: setZone("in")},
+			{Name: "out", Usage: "give a zone no new work", ArgsUsage: "ZONE", Action: setZone("out"), Description: "  medlarctl zone out osorno"},
+			{Name: "in", Usage: "bring a zone back; its leaves warm up", ArgsUsage: "ZONE", Action: setZone("in"), Description: "  medlarctl zone in osorno"},
 		},
 	}
 }
@@ -26,6 +27,9 @@
 // of the text, with its comments, as it is.
 func setZone(state string) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
+		if err := needTeam(c); err != nil {
+			return err
+		}
 		e, doc, err := newEditor(ctx, c)
 		if err != nil {
 			return err
@@ -35,7 +39,10 @@
 		if err != nil {
 			return command.WithExit(command.ExitFailed, err)
 		}
-		return apply(ctx, c, e, doc, zonesSection, []byte(next))
+		if next == string(text) {
+			return unchanged(c, doc, fmt.Sprintf("zone %s is %s already, nothing was changed", c.Args().First(), state))
+		}
+		return apply(ctx, c, e, doc, e.NewEdit(doc, zonesSection, []byte(next)))
 	}
 }
 
@@ -57,5 +64,5 @@
 		}
 		return text[:from] + stateLine.ReplaceAllString(text[from:to], `${1}"`+state+`"`) + text[to:], nil
 	}
-	return "", errors.Errorf("zone %q is not in section zones", zone)
+	return "", errors.Errorf("zone %q is not in section zones, nothing was changed: see 'medlarctl section get zones'", zone)
 }
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -7,9 +7,11 @@
 	"os"
 	"strconv"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
 )
 
@@ -24,10 +26,23 @@
 	Load func(path string) (run func(ctx context.Context) error, verbosity int, err error)
 }
 
+const exitCodes = `
+
+Every key is required. SIGTERM or SIGINT stops the program gracefully.
+
+Exit codes: 0 stopped gracefully or settings valid, 1 failed, 2 wrong command
+line, 3 settings not valid and nothing started.`
+
 // Main runs the program with the process's arguments and returns its exit code.
 func (d *Daemon) Main() int {
+	err := d.run(os.Args)
+	klog.Flush()
+	return ExitCode(err)
+}
+
+func (d *Daemon) run(args []string) error {
 	app := &cli.Command{
-		Name: d.Name, Usage: d.Usage, Description: d.Description, Version: Version,
+		Name: d.Name, Usage: d.Usage, Description: d.Description + exitCodes, Version: Version,
 		UsageText: d.Name + " --settings FILE [--check]",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE` (TOML)", Required: true},
@@ -35,15 +50,14 @@
 		},
 		Action: d.start,
 	}
-	err := app.Run(context.Background(), os.Args)
-	klog.Flush()
-	return ExitCode(err)
+	Strict(app)
+	return app.Run(context.Background(), args)
 }
 
 func (d *Daemon) start(ctx context.Context, c *cli.Command) error {
 	run, verbosity, err := d.Load(c.String("settings"))
 	if err != nil {
-		return WithExit(ExitSettings, err)
+		return WithExit(ExitSettings, d.invalid(c.String("settings"), err))
 	}
 	if c.Bool("check") {
 		fmt.Println("settings are valid")
@@ -60,6 +74,15 @@
 	return nil
 }
 
+// invalid lists the problems of the settings, one a line.
+func (d *Daemon) invalid(path string, err error) error {
+	var e *errs.Error
+	if errors.As(err, &e) {
+		err = e.Err
+	}
+	return errors.Errorf("the settings in %s are not valid, nothing was started:\n%v\nexample: %s --help", path, err, d.Name)
+}
+
 func setVerbosity(level int) {
 	var flags flag.FlagSet
 	klog.InitFlags(&flags)
