Send leaf facts on change, and a sign of life each second

Cause: relays repeated the facts of all their leaves to every entry and relay each second. At 102 bytes for each of the 116 leaves and their two relays that is 23.7 KB/s into an entry (docs/CAPACITY.md), the whole control budget of a VM at today's size. Ruled out: a longer repeat interval, which delays the discovery of a dead relay. Change: an update has a version; the sign of life carries the last one, and a receiver that missed an update asks for all. A relay worker keeps what other relays said until it knows the leaf's boot itself.

--- a/internal/entry/leaf_table.go
+++ b/internal/entry/leaf_table.go
@@ -8,42 +8,112 @@
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
-// factsLifetime is how long the word of a relay counts after it was last
-// heard; relays repeat their facts each second.
+// factsLifetime is how long the word of a relay counts after its last sign of
+// life, which relays give each second.
 const factsLifetime = 4 * time.Second
 
 // leafTable holds what relays last said about each leaf.
 type leafTable struct {
-	leaves map[topology.LeafID]map[topology.VMID]heardFacts
+	leaves map[topology.LeafID]map[topology.VMID]message.LeafFacts
+	relays map[topology.VMID]*heardRelay
 }
 
-type heardFacts struct {
-	facts message.LeafFacts
-	at    time.Duration
+// heardRelay is a relay with the last update of it.
+type heardRelay struct {
+	version uint64
+	at      time.Duration
 }
 
 func newLeafTable() *leafTable {
-	return &leafTable{leaves: make(map[topology.LeafID]map[topology.VMID]heardFacts)}
+	return &leafTable{
+		leaves: make(map[topology.LeafID]map[topology.VMID]message.LeafFacts),
+		relays: make(map[topology.VMID]*heardRelay),
+	}
+}
+
+// put stores a report. It returns the leaves whose facts changed, and whether
+// an update of the relay was missed before it.
+func (t *leafTable) put(now time.Duration, r *leafReport) (changed []topology.LeafID, missed bool) {
+	heard, known := t.relays[r.from]
+	if !known {
+		heard = &heardRelay{}
+		t.relays[r.from] = heard
+	}
+	if known && now-heard.at > factsLifetime {
+		changed = t.leavesOf(r.from)
+	}
+	u := &r.update
+	if !u.Full {
+		missed = !known || u.Version != heard.next(u)
+	}
+	if u.Full {
+		changed = append(changed, t.dropOthers(r.from, u.Facts)...)
+	}
+	heard.at, heard.version = now, u.Version
+	for _, f := range u.Facts {
+		if t.store(r.from, f) {
+			changed = append(changed, f.Leaf)
+		}
+	}
+	for _, leaf := range u.Gone {
+		delete(t.leaves[leaf], r.from)
+		changed = append(changed, leaf)
+	}
+	return changed, missed
+}
+
+// next is the version that the update must have if none was missed.
+func (h *heardRelay) next(u *message.LeafFactsUpdate) uint64 {
+	if u.Empty() {
+		return h.version
+	}
+	return h.version + 1
 }
 
-// put stores a report and tells whether it says something new.
-func (t *leafTable) put(now time.Duration, r *leafReport) bool {
-	byVM, ok := t.leaves[r.facts.Leaf]
+func (t *leafTable) store(from topology.VMID, f message.LeafFacts) bool {
+	byVM, ok := t.leaves[f.Leaf]
 	if !ok {
-		byVM = make(map[topology.VMID]heardFacts, 2)
-		t.leaves[r.facts.Leaf] = byVM
+		byVM = make(map[topology.VMID]message.LeafFacts, 2)
+		t.leaves[f.Leaf] = byVM
+	}
+	old, known := byVM[from]
+	byVM[from] = f
+	return !known || !reflect.DeepEqual(old, f)
+}
+
+// dropOthers forgets the leaves of a relay that a full update does not name.
+func (t *leafTable) dropOthers(from topology.VMID, facts []message.LeafFacts) []topology.LeafID {
+	named := make(map[topology.LeafID]bool, len(facts))
+	for _, f := range facts {
+		named[f.Leaf] = true
+	}
+	var dropped []topology.LeafID
+	for _, leaf := range t.leavesOf(from) {
+		if !named[leaf] {
+			delete(t.leaves[leaf], from)
+			dropped = append(dropped, leaf)
+		}
+	}
+	return dropped
+}
+
+func (t *leafTable) leavesOf(from topology.VMID) []topology.LeafID {
+	var out []topology.LeafID
+	for leaf, byVM := range t.leaves {
+		if _, ok := byVM[from]; ok {
+			out = append(out, leaf)
+		}
 	}
-	old, known := byVM[r.from]
-	byVM[r.from] = heardFacts{facts: r.facts, at: now}
-	return !known || now-old.at > factsLifetime || !reflect.DeepEqual(old.facts, r.facts)
+	return out
 }
 
-// get returns the latest word of the first of some relays that is fresh.
+// get returns the latest word of the first of some relays that is alive.
 func (t *leafTable) get(now time.Duration, leaf topology.LeafID, owners []topology.VM) (message.LeafFacts, bool) {
+	byVM := t.leaves[leaf]
 	for _, vm := range owners {
-		heard, ok := t.leaves[leaf][vm.ID]
-		if ok && now-heard.at <= factsLifetime {
-			return heard.facts, true
+		facts, ok := byVM[vm.ID]
+		if ok && now-t.relays[vm.ID].at <= factsLifetime {
+			return facts, true
 		}
 	}
 	return message.LeafFacts{}, false
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -145,14 +145,15 @@
 }
 
 func (s *Server) leafFacts(p *wire.Peer, env *wire.Envelope) {
-	var facts []message.LeafFacts
-	if err := wire.DecodeBody(env, &facts); err != nil {
+	var update message.LeafFactsUpdate
+	if err := wire.DecodeBody(env, &update); err != nil {
 		klog.ErrorS(err, "Cannot decode leaf facts", "peer", p.Remote.VM)
 		return
 	}
-	for _, f := range facts {
-		s.builder.inputs <- viewInput{facts: &leafReport{from: p.Remote.VM, facts: f}}
-	}
+	s.builder.inputs <- viewInput{facts: &leafReport{
+		from: p.Remote.VM, update: update,
+		resync: func() { p.Forward(&wire.Envelope{Kind: wire.KindFactsResync}) },
+	}}
 }
 
 // Status fills in the entry's part of the operators' status.
--- a/internal/entry/view_builder.go
+++ b/internal/entry/view_builder.go
@@ -21,10 +21,12 @@
 	facts    *leafReport
 }
 
-// leafReport is what one relay says about a leaf.
+// leafReport is what one relay says about its leaves.
 type leafReport struct {
-	from  topology.VMID
-	facts message.LeafFacts
+	from   topology.VMID
+	update message.LeafFactsUpdate
+	// resync asks the relay for all its facts.
+	resync func()
 }
 
 // viewBuilder collects inputs and publishes views. Its state belongs to the
@@ -115,11 +117,17 @@
 }
 
 func (b *viewBuilder) takeFacts(r *leafReport) {
-	if !b.table.put(b.now(), r) || b.current.topology == nil {
+	changed, missed := b.table.put(b.now(), r)
+	if missed {
+		r.resync()
+	}
+	if b.current.topology == nil {
 		return
 	}
-	if leaf, ok := b.current.topology.Leaves[r.facts.Leaf]; ok {
-		b.dirty[leaf.Index] = true
+	for _, id := range changed {
+		if leaf, ok := b.current.topology.Leaves[id]; ok {
+			b.dirty[leaf.Index] = true
+		}
 	}
 }
 
--- a/internal/relay/facts_hub.go
+++ b/internal/relay/facts_hub.go
@@ -14,9 +14,10 @@
 // other relays. It has its own lock, so that workers can publish while the
 // server hands them events. It is safe for concurrent use.
 type factsHub struct {
-	mu    sync.Mutex
-	facts map[topology.LeafID]message.LeafFacts
-	peers map[*wire.Peer]struct{}
+	mu      sync.Mutex
+	version uint64
+	facts   map[topology.LeafID]message.LeafFacts
+	peers   map[*wire.Peer]struct{}
 }
 
 func newFactsHub() *factsHub {
@@ -33,8 +34,8 @@
 	}
 	h.mu.Lock()
 	h.peers[p] = struct{}{}
-	notifyFacts(p, h.list())
 	h.mu.Unlock()
+	h.resync(p)
 	go func() {
 		<-p.Done()
 		h.mu.Lock()
@@ -43,26 +44,41 @@
 	}()
 }
 
+// resync tells a peer all facts.
+func (h *factsHub) resync(p *wire.Peer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	notifyFacts(p, message.LeafFactsUpdate{Version: h.version, Full: true, Facts: h.list()})
+}
+
 // publish stores a leaf's facts and tells them.
 func (h *factsHub) publish(f message.LeafFacts) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.facts[f.Leaf] = f
-	h.broadcast([]message.LeafFacts{f})
+	h.version++
+	h.broadcast(message.LeafFactsUpdate{Version: h.version, Facts: []message.LeafFacts{f}})
 }
 
-// drop forgets a leaf.
+// drop forgets a leaf that the relay no longer serves.
 func (h *factsHub) drop(leaf topology.LeafID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if _, ok := h.facts[leaf]; !ok {
+		return
+	}
 	delete(h.facts, leaf)
+	h.version++
+	h.broadcast(message.LeafFactsUpdate{Version: h.version, Gone: []topology.LeafID{leaf}})
 }
 
-// repeat tells all facts again.
-func (h *factsHub) repeat() {
+// beat tells that the relay is alive, and by the version whether an update was
+// missed. Repeating all facts instead took the whole control bandwidth of a VM
+// at today's size.
+func (h *factsHub) beat() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.broadcast(h.list())
+	h.broadcast(message.LeafFactsUpdate{Version: h.version})
 }
 
 // all returns the facts of all leaves.
@@ -80,14 +96,14 @@
 	return out
 }
 
-func (h *factsHub) broadcast(facts []message.LeafFacts) {
+func (h *factsHub) broadcast(u message.LeafFactsUpdate) {
 	for p := range h.peers {
-		notifyFacts(p, facts)
+		notifyFacts(p, u)
 	}
 }
 
-func notifyFacts(p *wire.Peer, facts []message.LeafFacts) {
-	if err := p.Notify(wire.KindLeafFacts, facts); err != nil {
+func notifyFacts(p *wire.Peer, u message.LeafFactsUpdate) {
+	if err := p.Notify(wire.KindLeafFacts, u); err != nil {
 		klog.ErrorS(err, "Cannot encode leaf facts")
 	}
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -18,8 +18,7 @@
 	"github.com/medlarswitch/medlarswitch/internal/wire"
 )
 
-// factsInterval is how often all facts are repeated to all entries, so that
-// they notice a relay that stopped.
+// factsInterval is how often entries and relays get a sign of life.
 const factsInterval = time.Second
 
 // Server is the relay process.
@@ -99,6 +98,8 @@
 		s.calls.cancel(callKey{peer: p, id: env.ID})
 	case wire.KindLeafFacts:
 		s.peerFacts(p, env)
+	case wire.KindFactsResync:
+		s.hub.resync(p)
 	case wire.KindLeaseRequest, wire.KindLeaseAck:
 		if err := s.leases.received(p, env); err != nil {
 			klog.ErrorS(err, "Cannot decode a lease message", "peer", p.Remote.VM)
--- a/internal/relay/server_facts.go
+++ b/internal/relay/server_facts.go
@@ -11,7 +11,7 @@
 	"github.com/medlarswitch/medlarswitch/internal/wire"
 )
 
-// repeatFacts repeats all facts and looks again which leaves to serve.
+// repeatFacts gives a sign of life and looks again which leaves to serve.
 func (s *Server) repeatFacts(ctx context.Context) {
 	tick := time.NewTicker(factsInterval)
 	defer tick.Stop()
@@ -21,7 +21,7 @@
 		case <-ctx.Done():
 			return
 		}
-		s.hub.repeat()
+		s.hub.beat()
 		s.mu.Lock()
 		for _, w := range s.workers {
 			w.mustPost(ctx, ranked{serving: s.serving(w.leaf)})
@@ -32,14 +32,14 @@
 
 // peerFacts passes on to a worker what another relay says of its leaf.
 func (s *Server) peerFacts(p *wire.Peer, env *wire.Envelope) {
-	var facts []message.LeafFacts
-	if err := wire.DecodeBody(env, &facts); err != nil {
+	var update message.LeafFactsUpdate
+	if err := wire.DecodeBody(env, &update); err != nil {
 		klog.ErrorS(err, "Cannot decode leaf facts", "peer", p.Remote.VM)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, f := range facts {
+	for _, f := range update.Facts {
 		if w, ok := s.workers[f.Leaf]; ok {
 			w.post(peerFacts{from: p.Remote.VM, facts: f})
 		}
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -52,8 +52,10 @@
 	lastProbe time.Duration
 	facts     message.LeafFacts
 	told      message.LeafFacts
-	wanted    bool
-	serving   bool
+	// peerSaid holds the last facts of each other relay.
+	peerSaid map[topology.VMID]peerFacts
+	wanted   bool
+	serving  bool
 	// open is false while the zone is out.
 	open bool
 	// closedFor is why the queue is closed, or "".
@@ -69,6 +71,7 @@
 		tracker:  warmup.New(warmup.Config{Slots: index.Slots}),
 		requests: make(map[uint64]*leafRequest),
 		running:  make(map[uint64]context.CancelFunc),
+		peerSaid: make(map[topology.VMID]peerFacts),
 		open:     true,
 	}
 }
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -43,6 +43,10 @@
 	w.facts.IndexVersions = r.GetIndexVersions()
 	w.facts.PartitionGeneration = r.GetPartitionGeneration()
 	w.facts.Boot = r.GetBootId()
+	// What other relays said before this relay knew the boot counts now.
+	for _, said := range w.peerSaid {
+		w.inherit(said)
+	}
 }
 
 // tell publishes the leaf's facts when they changed.
@@ -75,6 +79,7 @@
 
 // inherit takes over what another relay measured.
 func (w *leafWorker) inherit(ev peerFacts) {
+	w.peerSaid[ev.from] = ev
 	now := w.proc.Now()
 	if !w.serving && ev.facts.FellBoot != 0 {
 		w.transitions(w.tracker.Step(now, warmup.FellElsewhere{Boot: ev.facts.FellBoot}))
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -26,4 +26,5 @@
 	KindHeartbeat    Kind = 19
 	KindEvictions    Kind = 20
 	KindConfirm      Kind = 21
+	KindFactsResync  Kind = 22
 )
