--- /dev/null
+++ b/internal/measure/network.go
@@ -0,0 +1,66 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// localDelay is one way within an availability zone.
+	localDelay = 300 * time.Microsecond
+	// callerDelay is one way between a caller and an entry.
+	callerDelay = 3 * time.Millisecond
+
+	lossRate = 0.01
+	// timeoutShare is the share of losses that only a retransmission time-out
+	// repairs; the others are repaired within about one and a half round trips.
+	timeoutShare = 0.2
+	// retransmitTimeout is the lowest that TCP stacks use.
+	retransmitTimeout = 200 * time.Millisecond
+	// lossyJitter is the mean of the variable delay of a lossy link.
+	lossyJitter = 3 * time.Millisecond
+	// lanes is the number of relays per availability zone, each with a
+	// connection of its own.
+	lanes = 3
+)
+
+// lane is one direction of a connection between two availability zones.
+type lane struct{ from, to, number int }
+
+// network delivers messages between availability zones.
+type network struct {
+	loop   *loop
+	rng    *rand.Rand
+	oneWay time.Duration
+	// lossy is set for the link between the first two availability zones.
+	lossy bool
+	last  map[lane]time.Duration
+}
+
+// send delivers a message. A lost one holds up those behind it on its
+// connection.
+func (n *network) send(from, to, number int, run func()) {
+	if from == to {
+		n.loop.after(localDelay, run)
+		return
+	}
+	if !n.lossy || from > 1 || to > 1 {
+		n.loop.after(n.oneWay, run)
+		return
+	}
+	key := lane{from: from, to: to, number: number % lanes}
+	arrival := max(n.loop.now+n.oneWay+n.extra(), n.last[key])
+	n.last[key] = arrival
+	n.loop.at(arrival, run)
+}
+
+func (n *network) extra() time.Duration {
+	d := time.Duration(n.rng.ExpFloat64() * float64(lossyJitter))
+	if n.rng.Float64() >= lossRate {
+		return d
+	}
+	if n.rng.Float64() < timeoutShare {
+		return d + retransmitTimeout
+	}
+	return d + 3*n.oneWay
+}
--- /dev/null
+++ b/internal/measure/policy.go
@@ -0,0 +1,66 @@
+package measure
+
+// Policy is what a run measures. The zero value is the policy as the entry and
+// the relay use it.
+type Policy struct {
+	// Baseline is a plain fan-out instead: no hedges, no warm-up, a fixed
+	// share of connections, and a wait for all shards until the deadline.
+	Baseline bool
+	// Percentile of a shard's latency after which a hedge is sent; 0 is that
+	// of the latency package.
+	Percentile float64
+	// HedgeShare is the part of the budget that hedges may use; 0 is that of
+	// the budget package.
+	HedgeShare float64
+	// ColdFirst puts a leaf that is not warm first in one plan of eight, at most
+	// one such leaf per plan and in at most half of the plans. Otherwise such a
+	// leaf gets only retries and moves while another leaf of its shard is warm.
+	ColdFirst bool
+	// KeepColdRuns lets a request run on in a leaf that is not warm after its
+	// caller withdrew it.
+	KeepColdRuns bool
+	// CancelCensored counts a cancelled request in a warm leaf as too slow if it
+	// ran for longer than longRun, and makes no pause otherwise.
+	CancelCensored bool
+	// ProbeOnClose stops sending to a leaf that closed its connections until it
+	// has been probed.
+	ProbeOnClose bool
+	// SlowLast ranks a leaf whose replies take slowRatio times as long as those
+	// of another leaf of its shard like one that is not warm.
+	SlowLast bool
+	// DelayPerClass keeps hedge delays of the main class apart from those of
+	// the lower one.
+	DelayPerClass bool
+	// Reserve leaves half of the saved budget to the classes of priority 0.
+	Reserve bool
+	// OthersLoad takes the relay's own requests out of the load that a leaf
+	// reports.
+	OthersLoad bool
+}
+
+// Plain is the baseline.
+func Plain() Policy { return Policy{Baseline: true} }
+
+// Current is the policy as the entry and the relay use it.
+func Current() Policy { return Policy{} }
+
+// Proposed is the policy with the changes that the measurements suggest.
+func Proposed() Policy {
+	return Policy{
+		Percentile: 0.98, ColdFirst: true, KeepColdRuns: true, CancelCensored: true,
+		ProbeOnClose: true, SlowLast: true, DelayPerClass: true, OthersLoad: true,
+	}
+}
+
+// Name returns the policy's name in tables.
+func (p Policy) Name() string {
+	switch p {
+	case Plain():
+		return "baseline"
+	case Current():
+		return "current"
+	case Proposed():
+		return "proposed"
+	}
+	return "variant"
+}
--- /dev/null
+++ b/internal/measure/relay.go
@@ -0,0 +1,150 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/leafqueue"
+	"github.com/medlarswitch/medlarswitch/internal/warmup"
+)
+
+const (
+	// maxQueued, probeInterval, probeTimeout and runLimit are those of the
+	// relay and of the stand-in's service documents.
+	maxQueued     = 64
+	probeInterval = time.Second
+	probeTimeout  = 900 * time.Millisecond
+	runLimit      = 2 * time.Second
+)
+
+// relay owns one leaf, as the worker of the relay process does. It always holds
+// the cold lease.
+type relay struct {
+	sim      *sim
+	leaf     *leaf
+	queue    *leafqueue.Queue
+	tracker  *warmup.Tracker
+	requests map[uint64]*leafRequest
+	nextID   uint64
+	open     bool
+	facts    facts
+	// shed is when the leaf last refused a request.
+	shed time.Duration
+	// unsure is set while the leaf's connections are closed and its probe runs.
+	unsure bool
+	// timers numbers the wake-ups, so that an earlier one is ignored.
+	timers uint64
+}
+
+// facts is what entries know of a leaf.
+type facts struct{ usable, warm bool }
+
+func newRelay(s *sim, l *leaf) *relay {
+	r := &relay{
+		sim: s, leaf: l, open: true,
+		queue:    leafqueue.New(leafqueue.Config{MaxQueued: maxQueued}),
+		tracker:  warmup.New(warmup.Config{Slots: slots}),
+		requests: make(map[uint64]*leafRequest),
+	}
+	r.facts = facts{usable: true}
+	// Probes of different leaves are spread over the interval.
+	l.closed = r.closed
+	offset := probeInterval * time.Duration(l.index) / time.Duration(len(s.leaves)+1)
+	s.after(offset, r.probe)
+	return r
+}
+
+func (r *relay) add(req *leafRequest) {
+	r.nextID++
+	req.id = r.nextID
+	r.requests[req.id] = req
+	r.step(leafqueue.Add{ID: req.id, Priority: req.priority, StartBy: req.startBy})
+}
+
+func (r *relay) cancel(req *leafRequest) {
+	if !req.ended {
+		r.step(leafqueue.Cancel{ID: req.id})
+	}
+}
+
+func (r *relay) setOpen(open bool) {
+	r.open = open
+	if open {
+		r.step(leafqueue.Open{})
+		return
+	}
+	r.step(leafqueue.Close{Reason: errs.ReasonZoneOut})
+}
+
+// step applies an event to the queue under the limit that holds now.
+func (r *relay) step(ev leafqueue.Event) {
+	r.apply(r.queue.Step(r.sim.now, r.limit()))
+	r.apply(r.queue.Step(r.sim.now, ev))
+	r.tell()
+	r.wake()
+}
+
+// limit is what the leaf may get now.
+func (r *relay) limit() leafqueue.SetLimit {
+	if r.unsure {
+		return leafqueue.SetLimit{}
+	}
+	limit := r.tracker.Limit(r.sim.now)
+	out := leafqueue.SetLimit{InFlight: limit.InFlight, NotBefore: limit.NotBefore}
+	refused := r.shed > 0 && r.sim.now-r.shed < typicalRun
+	if r.sim.policy.CancelCensored && r.tracker.State() == warmup.Warm && !refused {
+		out.NotBefore = 0
+	}
+	return out
+}
+
+func (r *relay) apply(actions []leafqueue.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case leafqueue.Dispatch:
+			r.dispatch(r.requests[a.ID])
+		case leafqueue.Refuse:
+			r.refuse(a)
+		case leafqueue.Abort:
+			r.abort(r.requests[a.ID])
+		}
+	}
+}
+
+func (r *relay) refuse(a leafqueue.Refuse) {
+	req := r.requests[a.ID]
+	delete(r.requests, a.ID)
+	req.ended = true
+	req.answer(reply{notRun: true, reason: string(a.Reason)})
+}
+
+// tell sends changed facts to the entries.
+func (r *relay) tell() {
+	state := r.tracker.State()
+	f := facts{
+		usable: r.open && state != warmup.Down && state != warmup.Leaving,
+		warm:   r.open && state == warmup.Warm,
+	}
+	if f == r.facts {
+		return
+	}
+	r.facts = f
+	for _, e := range r.sim.entries {
+		r.sim.network.send(r.leaf.zone, e.zone, r.leaf.index, func() { e.learn(r.leaf.index, f) })
+	}
+}
+
+// wake asks for the queue's next timer. One that comes too early does no harm.
+func (r *relay) wake() {
+	at, ok := r.queue.NextWake(r.sim.now)
+	if !ok {
+		return
+	}
+	r.timers++
+	number := r.timers
+	r.sim.at(at, func() {
+		if number == r.timers {
+			r.step(leafqueue.Tick{})
+		}
+	})
+}
