--- /dev/null
+++ b/internal/measure/variant.go
@@ -0,0 +1,94 @@
+package measure
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Variant is a named change of a policy.
+type Variant struct {
+	Name   string
+	Policy Policy
+}
+
+// HedgeVariants change when hedges are sent and how many may be.
+func HedgeVariants() []Variant {
+	var out []Variant
+	for _, share := range []float64{0.5, 0.8} {
+		for _, percentile := range []float64{0.90, 0.95, 0.98, 0.99} {
+			p := Proposed()
+			p.Percentile, p.HedgeShare = percentile, share
+			out = append(out, Variant{Name: fmt.Sprintf("p%.0f share %.1f", 100*percentile, share), Policy: p})
+		}
+	}
+	return out
+}
+
+// Ablations are the proposed policy, and it without each of its changes.
+func Ablations() []Variant {
+	without := func(name string, change func(*Policy)) Variant {
+		p := Proposed()
+		change(&p)
+		return Variant{Name: name, Policy: p}
+	}
+	return []Variant{
+		{Name: "proposed", Policy: Proposed()},
+		without("-percentile", func(p *Policy) { p.Percentile = 0 }),
+		without("-cold-first", func(p *Policy) { p.ColdFirst = false }),
+		without("-keep-runs", func(p *Policy) { p.KeepColdRuns = false }),
+		without("-censored", func(p *Policy) { p.CancelCensored = false }),
+		without("-probe-close", func(p *Policy) { p.ProbeOnClose = false }),
+		without("-slow-last", func(p *Policy) { p.SlowLast = false }),
+		without("-per-class", func(p *Policy) { p.DelayPerClass = false }),
+		without("-others-load", func(p *Policy) { p.OthersLoad = false }),
+		without("+reserve", func(p *Policy) { p.Reserve = true }),
+	}
+}
+
+// Pooled is what one variant measured in a scenario over several seeds.
+type Pooled struct {
+	Variant  string
+	Scenario string
+	Size     string
+	Main     Figures
+	Firsts   int
+	Extra    int
+	Cold     int
+}
+
+// Pool runs a variant with each seed and adds the figures up.
+func Pool(v Variant, scenario Scenario, size Size, seeds []uint64) *Pooled {
+	out := &Pooled{Variant: v.Name, Scenario: scenario.Name, Size: size.Name, Main: newFigures()}
+	for _, seed := range seeds {
+		r := Run(scenario, size, v.Policy, seed)
+		out.Main.add(&r.Main)
+		out.Firsts += r.Firsts
+		out.Extra += r.Extra
+		out.Cold += r.ColdViolations
+	}
+	return out
+}
+
+func (f *Figures) add(o *Figures) {
+	f.Latency.Merge(o.Latency)
+	f.Answered += o.Answered
+	f.Refused += o.Refused
+	f.coverage += o.coverage
+	f.Worst = min(f.Worst, o.Worst)
+	f.Denied += o.Denied
+}
+
+// VariantReport returns a table of pooled figures. Latencies are in
+// milliseconds.
+func VariantReport(rows []*Pooled) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%-14s %-12s %-14s %6s %6s %6s  %6s %6s %6s %4s\n",
+		"scenario", "size", "variant", "p50", "p99", "p99.9", "mean", "extra", "denied", "cold")
+	for _, r := range rows {
+		f := &r.Main
+		fmt.Fprintf(&out, "%-14s %-12s %-14s %6.1f %6.1f %6.1f  %6.4f %5.2f%% %6d %4d\n",
+			r.Scenario, r.Size, r.Variant, millis(f.At(50)), millis(f.At(99)), millis(f.At(99.9)),
+			f.Mean(), 100*float64(r.Extra)/float64(max(r.Firsts, 1)), f.Denied, r.Cold)
+	}
+	return out.String()
+}
