Leave half of the saved budget to the highest priority

In an overload the lower class queues in the leaves, so that most of its requests ask for a hedge and use up the budget. Budget.TrySpendLower leaves half of the saved tokens to the highest priority; its test failed before the change with 0 tokens left.

--- /dev/null
+++ b/internal/budget/lower_test.go
@@ -0,0 +1,28 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against lower priorities that spend what the highest one needs, and
+// against lower priorities that get nothing at low load.
+func TestLowerPrioritiesLeaveAReserve(t *testing.T) {
+	for _, kind := range []Kind{KindHedge, KindRetry} {
+		b := New(Config{Share: 0.05, Burst: 20})
+		now := load(b, 0, 10_000, time.Millisecond, func(now time.Duration) {
+			for b.TrySpendLower(now, kind) {
+			}
+		})
+		spent := 0
+		for b.TrySpend(now, kind) {
+			spent++
+		}
+		assert.Assert(t, spent >= 7, "kind %d: the highest priority got %d", kind, spent)
+	}
+	low := New(Config{Share: 0.05, Burst: 20})
+	now := load(low, 0, 21, time.Minute, func(time.Duration) {})
+	assert.Assert(t, low.TrySpendLower(now, KindRetry))
+}
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -31,7 +31,8 @@
 	// DelayPerClass keeps hedge delays of the main class apart from those of
 	// the lower one.
 	DelayPerClass bool
-	// Reserve leaves half of the saved budget to the classes of priority 0.
+	// Reserve makes the lower classes leave a part of the saved budget to
+	// those of priority 0.
 	Reserve bool
 	// OthersLoad takes the relay's own requests out of the load that a leaf
 	// reports.
@@ -49,6 +50,7 @@
 	return Policy{
 		Percentile: 0.98, ColdFirst: true, KeepColdRuns: true, CancelCensored: true,
 		ProbeOnClose: true, SlowLast: true, DelayPerClass: true, OthersLoad: true,
+		Reserve: true,
 	}
 }
 
--- a/internal/measure/spending.go
+++ b/internal/measure/spending.go
@@ -67,15 +67,16 @@
 
 // TrySpend implements query.Budget.
 func (c classBudget) TrySpend(kind query.Kind) bool {
-	s := c.spending
-	if c.reserved && s.budget.Tokens() < extraBurst/2 {
-		return false
-	}
-	if kind != query.KindHedge {
-		return s.budget.TrySpend(s.sim.now, budget.KindRetry)
+	s, now := c.spending, c.spending.sim.now
+	spent := budget.KindRetry
+	if kind == query.KindHedge {
+		spent = budget.KindHedge
 	}
-	if s.hedges != nil && !s.hedges.TrySpend(s.sim.now, budget.KindHedge) {
+	if spent == budget.KindHedge && s.hedges != nil && !s.hedges.TrySpend(now, spent) {
 		return false
 	}
-	return s.budget.TrySpend(s.sim.now, budget.KindHedge)
+	if c.reserved {
+		return s.budget.TrySpendLower(now, spent)
+	}
+	return s.budget.TrySpend(now, spent)
 }
--- a/internal/measure/variant.go
+++ b/internal/measure/variant.go
@@ -41,7 +41,7 @@
 		without("-slow-last", func(p *Policy) { p.SlowLast = false }),
 		without("-per-class", func(p *Policy) { p.DelayPerClass = false }),
 		without("-others-load", func(p *Policy) { p.OthersLoad = false }),
-		without("+reserve", func(p *Policy) { p.Reserve = true }),
+		without("-reserve", func(p *Policy) { p.Reserve = false }),
 	}
 }
 
