Measure state and processing per VM, leaf, section and edit at three sizes

The new package internal/slopes measures the document, the VM list, rendezvous ranks, a leaf's state in its relay, messages, the event log and the frame path at today's size, at ten times it and at 110,160 leaves and 2,400 VMs.

Ruled out: a stand-in relay that feeds facts to a whole entry, since it would need 2,400 listeners or too few VMs to rank.

--- a/internal/coldlease/bench_test.go
+++ b/internal/coldlease/bench_test.go
@@ -10,12 +10,16 @@
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
-// BenchmarkRenewal measures one renewal of all leaves of a relay with 266
-// peers: one request to each, one acknowledgement from each, and the answers to
-// the requests of all peers. The bytes are msgpack bodies per leaf and peer.
+// BenchmarkRenewal measures one renewal of all leaves of a relay: one request
+// to each peer, one acknowledgement from each, and the answers to the requests
+// of all peers. The bytes are msgpack bodies per leaf and peer.
 func BenchmarkRenewal(b *testing.B) {
-	for _, n := range []int{46, 500} {
-		b.Run(fmt.Sprint(n, "leaves"), func(b *testing.B) { benchmarkRenewal(b, n, 266) })
+	for _, row := range []struct{ leaves, peers int }{
+		{1, 2}, {13, 2}, {1, 29}, {13, 29}, {1, 266}, {46, 266}, {500, 266},
+	} {
+		b.Run(fmt.Sprintf("leaves=%d/peers=%d", row.leaves, row.peers), func(b *testing.B) {
+			benchmarkRenewal(b, row.leaves, row.peers)
+		})
 	}
 }
 
--- a/internal/confsync/bench_test.go
+++ b/internal/confsync/bench_test.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	benchPeers    = 2400
 	benchSections = 120
 	benchZones    = 9
 	// benchSectionBytes gives 10.5 MB in all, the document of 110,000 leaves.
@@ -50,13 +49,23 @@
 	return activated
 }
 
-// BenchmarkEdit takes one edit in on a VM with 2,400 peers, of which eight
-// announce it, and serves it to two of them.
+// benchPeers are the peers of an agent today, at ten times the size and at the
+// design target.
+var benchPeers = []int{8, 89, 2399}
+
+// BenchmarkEdit takes one edit in, which eight peers announce, and serves it to
+// two of them.
 func BenchmarkEdit(b *testing.B) {
+	for _, peers := range benchPeers {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) { benchmarkEdit(b, peers) })
+	}
+}
+
+func benchmarkEdit(b *testing.B, peers int) {
 	m := New(topology.VM{ID: "vm", Zone: "z0"}, rand.New(rand.NewPCG(1, 1)))
 	now := time.Duration(0)
-	peer := func(i int) topology.VMID { return topology.VMID(fmt.Sprintf("vm-%04d", i%benchPeers)) }
-	for i := range benchPeers {
+	peer := func(i int) topology.VMID { return topology.VMID(fmt.Sprintf("vm-%04d", i%peers)) }
+	for i := range peers {
 		m.Step(now, PeerJoined{VM: topology.VM{ID: peer(i), Zone: topology.Zone(fmt.Sprintf("z%d", i%benchZones))}})
 	}
 	text := bytes.Repeat([]byte("x"), benchSectionBytes)
@@ -92,10 +101,16 @@
 	b.ReportMetric(float64(len(beat)*heartbeatFanout), "heartbeat-bytes/s")
 }
 
-// BenchmarkTick is a heartbeat with 2,400 peers.
+// BenchmarkTick is a heartbeat.
 func BenchmarkTick(b *testing.B) {
+	for _, peers := range benchPeers {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) { benchmarkTick(b, peers) })
+	}
+}
+
+func benchmarkTick(b *testing.B, peers int) {
 	m := New(topology.VM{ID: "vm", Zone: "z0"}, rand.New(rand.NewPCG(1, 1)))
-	for i := range benchPeers {
+	for i := range peers {
 		m.Step(0, PeerJoined{VM: topology.VM{ID: topology.VMID(fmt.Sprintf("vm-%04d", i)), Zone: topology.Zone(fmt.Sprintf("z%d", i%benchZones))}})
 	}
 	now := startWait
--- a/internal/latency/table_test.go
+++ b/internal/latency/table_test.go
@@ -83,9 +83,14 @@
 }
 
 // BenchmarkBytesPerShard compares the memory of an estimate with that of an
-// HDR histogram at 110,000 shards.
+// HDR histogram.
 func BenchmarkBytesPerShard(b *testing.B) {
-	const shards = 110_000
+	for _, shards := range []int{1_160, 110_000} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) { benchmarkBytesPerShard(b, shards) })
+	}
+}
+
+func benchmarkBytesPerShard(b *testing.B, shards int) {
 	ids := make([]topology.ShardID, shards)
 	for i := range ids {
 		ids[i] = topology.ShardID(fmt.Sprintf("shard-%d", i))
@@ -107,8 +112,8 @@
 			return table
 		})
 	}
-	b.ReportMetric(own/shards, "B/shard")
-	b.ReportMetric(hdr/shards, "hdr-B/shard")
+	b.ReportMetric(own/float64(shards), "B/shard")
+	b.ReportMetric(hdr/float64(shards), "hdr-B/shard")
 }
 
 func BenchmarkObserve(b *testing.B) {
--- /dev/null
+++ b/internal/slopes/message_bench_test.go
@@ -0,0 +1,164 @@
+package slopes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/medlarswitch/medlarswitch/internal/coldlease"
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/quarantine"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// BenchmarkMessage encodes and decodes one message of each kind. The frame
+// bytes include the envelope and the length, not the headers of TCP.
+func BenchmarkMessage(b *testing.B) {
+	for _, row := range []struct {
+		name string
+		body any
+	}{
+		{"ping", nil},
+		{"heartbeat", message.Heartbeat{Generation: 1 << 20, StoreAge: time.Second, Ask: 1, VMVersion: 1 << 20}},
+		{"quarantine", quarantine.Fact{Class: "finder", Fingerprint: 1 << 62, Origin: 1 << 62, Seq: 9, Remaining: time.Minute}},
+		{"facts=1", factsOf(1)},
+		{"facts=92", factsOf(targetShare)},
+		{"request", LeafRequest()},
+		{"reply-hits=10", LeafReply(10)},
+		{"reply-hits=100", LeafReply(100)},
+		{"lease-request=1", coldlease.Request{Nonce: 1 << 20, ListVersion: 1 << 20, Leaves: []coldlease.LeafAsked{{Leaf: "finder-017-042-a", RunLimitMS: 2000}}}},
+		{"lease-ack=1", coldlease.Ack{Nonce: 1 << 20, Asker: 1 << 62, ListVersion: 1 << 20, Leaves: []topology.LeafID{"finder-017-042-a"}}},
+		{"section-fetch", message.ConfigFetch{Section: "index.finder-017", EditID: "0198f3a2-77aa-7c10-9d5b-3f1f6a0c2e11"}},
+	} {
+		b.Run(row.name, func(b *testing.B) { benchmarkMessage(b, row.body) })
+	}
+}
+
+func benchmarkMessage(b *testing.B, body any) {
+	size := 0
+	for b.Loop() {
+		size = len(mustFrame(b, body))
+	}
+	b.ReportMetric(float64(size), "frame-B")
+}
+
+// mustFrame encodes a message as a peer does and decodes it again.
+func mustFrame(b *testing.B, body any) []byte {
+	env := wire.Envelope{
+		ID: 1 << 62, Kind: wire.KindPing, Shard: "finder-017-042",
+		Snapshot: topology.Snapshot{IndexVersion: 1 << 20, PartitionGeneration: 3},
+		Clock:    timeline.Stamp{WallNS: 1 << 60, Logical: 1},
+	}
+	if body == nil {
+		env.ID, env.Shard, env.Snapshot = 0, "", topology.Snapshot{}
+	} else {
+		raw, err := wire.EncodeBody(body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		env.Body = raw
+	}
+	payload, err := msgpack.Marshal(&env)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var back wire.Envelope
+	if err := msgpack.Unmarshal(payload, &back); err != nil {
+		b.Fatal(err)
+	}
+	return append(make([]byte, 4, 4+len(payload)), payload...)
+}
+
+func factsOf(leaves int) []message.LeafFacts {
+	out := make([]message.LeafFacts, leaves)
+	for i := range out {
+		out[i] = Facts(topology.LeafID(fmt.Sprintf("finder-%03d-%03d-a", i/170, i%170)))
+	}
+	return out
+}
+
+// BenchmarkFactsDecode decodes the repeated facts of one relay in an entry.
+func BenchmarkFactsDecode(b *testing.B) {
+	body, err := wire.EncodeBody(factsOf(targetShare))
+	if err != nil {
+		b.Fatal(err)
+	}
+	env := &wire.Envelope{Body: body}
+	for b.Loop() {
+		var facts []message.LeafFacts
+		if err := wire.DecodeBody(env, &facts); err != nil || len(facts) != targetShare {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*targetShare), "ns/leaf")
+}
+
+// BenchmarkManifest encodes and decodes the manifest, which an agent offers to
+// its peers on an edit and repeats to its VM's processes each second.
+func BenchmarkManifest(b *testing.B) {
+	for _, s := range Sizes() {
+		b.Run(s.Name, func(b *testing.B) {
+			m := manifestOf(s)
+			size := 0
+			for b.Loop() {
+				body, err := wire.EncodeBody(m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var back confsync.Manifest
+				if err := wire.DecodeBody(&wire.Envelope{Body: body}, &back); err != nil {
+					b.Fatal(err)
+				}
+				size = len(body)
+			}
+			b.ReportMetric(float64(size), "manifest-B")
+			b.ReportMetric(float64(DocumentBytes(Document(s)[1:2])), "section-B")
+		})
+	}
+}
+
+func manifestOf(s Size) confsync.Manifest {
+	m := confsync.Manifest{Generation: 1 << 20}
+	for _, section := range Document(s) {
+		m.Sections = append(m.Sections, confsync.SectionRef{
+			Name: section.Name, EditID: "0198f3a2-77aa-7c10-9d5b-3f1f6a0c2e11", Hash: confsync.HashText(section.Text),
+		})
+	}
+	for i := range confsync.MaxEdits {
+		m.Edits = append(m.Edits, confsync.Edit{
+			Generation: uint64(1<<20 - i), EditID: "0198f3a2-77aa-7c10-9d5b-3f1f6a0c2e11",
+			Section: "index.finder-017", Team: "search", At: 1780000000000,
+		})
+	}
+	return m
+}
+
+// BenchmarkEventLog is the memory of a full event log per event.
+func BenchmarkEventLog(b *testing.B) {
+	for _, size := range []int{1_000, 16_384} {
+		b.Run(fmt.Sprintf("events=%d", size), func(b *testing.B) {
+			var log *timeline.Log
+			add := func(i int) {
+				log.Add(timeline.KindLeafReply, fmt.Sprintf("vm-00017-3fa4c1d2e5b60798-%d", i), fmt.Sprintf("finder-017-%03d-a", i), "4.123ms")
+			}
+			kept := HeapBytes(func() any {
+				log = timeline.NewLog(timeline.NewClock(time.Now), size)
+				for i := range size {
+					add(i)
+				}
+				return log
+			})
+			i := 0
+			for b.Loop() {
+				i++
+				add(i)
+			}
+			b.ReportMetric(kept/float64(size), "heap-B/event")
+		})
+	}
+}
--- a/internal/snapshot/choose_test.go
+++ b/internal/snapshot/choose_test.go
@@ -57,9 +57,16 @@
 	assert.Equal(t, got, topology.Snapshot{IndexVersion: 7, PartitionGeneration: 3})
 }
 
-// BenchmarkChoose covers the design target of 110,000 leaves, two per shard.
+// BenchmarkChoose covers today's leaves, ten times as many and the design
+// target, two leaves per shard.
 func BenchmarkChoose(b *testing.B) {
-	index := testIndex(55_000, 2)
+	for _, leaves := range []int{116, 1_160, 110_000} {
+		b.Run(fmt.Sprintf("leaves=%d", leaves), func(b *testing.B) { benchmarkChoose(b, leaves) })
+	}
+}
+
+func benchmarkChoose(b *testing.B, leaves int) {
+	index := testIndex(leaves/2, 2)
 	evidence := map[topology.LeafID]Evidence{}
 	for i, shard := range index.Shards {
 		for _, leaf := range shard.Leaves {
