Check only the changed indexes of a document in entries and relays

servicedoc.Incremental keeps the last document without problems, parses the sections of changed indexes and shares the other shards and leaves.

Ruled out: a cached parse of each section, which keeps several times the memory of the topology; a set of all addresses, which a scan replaces; one check in the agent only, which saves two thirds at most.

The agent is not changed here.

--- a/internal/agentlink/link.go
+++ b/internal/agentlink/link.go
@@ -31,6 +31,7 @@
 	heard atomic.Int64
 
 	sections   map[string]heldSection
+	checker    servicedoc.Incremental
 	generation uint64
 }
 
@@ -122,7 +123,7 @@
 	if !ok {
 		return
 	}
-	t, problems := servicedoc.Check(sections)
+	t, problems := l.checker.Check(sections)
 	if len(problems) > 0 {
 		klog.ErrorS(problems.Err(), "The agent offered a configuration that does not pass the check", "generation", m.Generation)
 		return
