--- a/internal/agent/config_loop.go
+++ b/internal/agent/config_loop.go
@@ -124,10 +124,11 @@
 
 // check brings activated generations into force, in order.
 func (l *configLoop) check(ctx context.Context) {
+	var checker servicedoc.Incremental
 	for {
 		select {
 		case a := <-l.checks:
-			_, problems := servicedoc.Check(a.Sections)
+			_, problems := checker.Check(a.Sections)
 			if len(problems) > 0 {
 				klog.ErrorS(problems.Err(), "An accepted configuration does not pass the check", "generation", a.Manifest.Generation)
 			} else {
--- a/internal/agentlink/link.go
+++ b/internal/agentlink/link.go
@@ -35,6 +35,7 @@
 	guard      *guard
 
 	sections map[string]heldSection
+	checker  servicedoc.Incremental
 }
 
 // input is a message of the agent with the connection it came on.
@@ -144,7 +145,7 @@
 	if !ok {
 		return
 	}
-	t, problems := servicedoc.Check(sections)
+	t, problems := l.checker.Check(sections)
 	if len(problems) > 0 {
 		klog.ErrorS(problems.Err(), "The agent offered a configuration that does not pass the check", "generation", m.Generation)
 		return
--- a/internal/entry/leaf_table.go
+++ b/internal/entry/leaf_table.go
@@ -22,6 +22,8 @@
 type heardRelay struct {
 	version uint64
 	at      time.Duration
+	// silent is true once silenced has named the relay's leaves.
+	silent bool
 }
 
 func newLeafTable() *leafTable {
@@ -49,7 +51,7 @@
 	if u.Full {
 		changed = append(changed, t.dropOthers(r.from, u.Facts)...)
 	}
-	heard.at, heard.version = now, u.Version
+	heard.at, heard.version, heard.silent = now, u.Version, false
 	for _, f := range u.Facts {
 		if t.store(r.from, f) {
 			changed = append(changed, f.Leaf)
@@ -97,6 +99,19 @@
 	return dropped
 }
 
+// silenced returns the leaves of relays that have fallen silent since the last
+// call.
+func (t *leafTable) silenced(now time.Duration) []topology.LeafID {
+	var out []topology.LeafID
+	for vm, heard := range t.relays {
+		if !heard.silent && now-heard.at > factsLifetime {
+			heard.silent = true
+			out = append(out, t.leavesOf(vm)...)
+		}
+	}
+	return out
+}
+
 func (t *leafTable) leavesOf(from topology.VMID) []topology.LeafID {
 	var out []topology.LeafID
 	for leaf, byVM := range t.leaves {
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -40,21 +39,19 @@
 	now   time.Duration
 }
 
-// candidate is a leaf with what decides its place in the order.
-type candidate struct {
-	leaf  *topology.Leaf
-	facts message.LeafFacts
-	local bool
-}
-
 func (p *planner) plan(index *topology.Index) *indexView {
 	out := &indexView{index: index}
-	snap, ok := snapshot.Choose(index, p.evidence(index))
+	leaves := p.usableLeaves(index)
+	snap, ok := snapshot.Choose(index, evidence(leaves))
 	if !ok {
 		return out
 	}
+	shards := make([]shardCandidates, len(index.Shards))
+	for i, shard := range index.Shards {
+		shards[i] = p.shard(shard, leaves, snap)
+	}
 	for i := range planVariants {
-		plan := p.variant(index, snap)
+		plan := variant(shards, snap)
 		if i < warmupPlans {
 			warmOne(plan)
 		}
@@ -77,21 +74,30 @@
 	}
 }
 
-func (p *planner) evidence(index *topology.Index) map[topology.LeafID]snapshot.Evidence {
-	out := make(map[topology.LeafID]snapshot.Evidence)
+// usableLeaves returns the facts of the leaves that may get work, looked up
+// once for all plans.
+func (p *planner) usableLeaves(index *topology.Index) map[topology.LeafID]message.LeafFacts {
+	out := make(map[topology.LeafID]message.LeafFacts)
 	for _, shard := range index.Shards {
 		for _, leaf := range shard.Leaves {
-			facts, ok := p.facts(leaf)
-			if ok && facts.Usable {
-				out[leaf.ID] = snapshot.Evidence{
-					IndexVersions: facts.IndexVersions, PartitionGeneration: facts.PartitionGeneration,
-				}
+			if facts, ok := p.facts(leaf); ok && facts.Usable {
+				out[leaf.ID] = facts
 			}
 		}
 	}
 	return out
 }
 
+func evidence(leaves map[topology.LeafID]message.LeafFacts) map[topology.LeafID]snapshot.Evidence {
+	out := make(map[topology.LeafID]snapshot.Evidence, len(leaves))
+	for id, facts := range leaves {
+		out[id] = snapshot.Evidence{
+			IndexVersions: facts.IndexVersions, PartitionGeneration: facts.PartitionGeneration,
+		}
+	}
+	return out
+}
+
 // facts returns what is known of a leaf in a zone that is in service.
 func (p *planner) facts(leaf *topology.Leaf) (message.LeafFacts, bool) {
 	if !p.view.topology.InService(leaf.Zone) {
@@ -100,48 +106,52 @@
 	return p.table.get(p.now, leaf.ID, ownership.Owners(leaf.ID, p.view.zoneVMs[leaf.Zone]))
 }
 
-func (p *planner) variant(index *topology.Index, snap topology.Snapshot) query.Plan {
-	plan := query.Plan{Snapshot: snap, Shards: make([]query.ShardPlan, len(index.Shards))}
-	for i, shard := range index.Shards {
-		plan.Shards[i] = p.shard(shard, snap)
-	}
-	return plan
+// shardCandidates is a shard's plan with its leaves in groups of equally good
+// ones, best first.
+type shardCandidates struct {
+	plan   query.ShardPlan
+	groups [groupCount][]query.Candidate
 }
 
-func (p *planner) shard(shard *topology.Shard, snap topology.Snapshot) query.ShardPlan {
-	out := query.ShardPlan{Shard: shard.ID, Weight: shard.Weight}
-	candidates := p.candidates(shard, snap)
-	if len(candidates) == 0 {
-		out.Unavailable = p.whyNone(shard)
-		return out
-	}
+// groupCount is the number of combinations of warm and local.
+const groupCount = 4
+
+// shard groups the leaves that serve the snapshot: warm before others, and
+// this zone's before others.
+func (p *planner) shard(shard *topology.Shard, leaves map[topology.LeafID]message.LeafFacts, snap topology.Snapshot) shardCandidates {
+	out := shardCandidates{plan: query.ShardPlan{Shard: shard.ID, Weight: shard.Weight}}
 	delay := p.hedge.Delay(p.now, shard.ID)
-	for _, c := range candidates {
-		out.Candidates = append(out.Candidates, query.Candidate{
-			Leaf: c.leaf.ID, Warm: c.facts.Warm, HedgeAfter: delay,
-		})
+	found := false
+	for _, leaf := range shard.Leaves {
+		facts, ok := leaves[leaf.ID]
+		if !ok || !serves(facts, snap) {
+			continue
+		}
+		found = true
+		group := 2*rank(facts.Warm) + rank(leaf.Zone == p.zone)
+		out.groups[group] = append(out.groups[group], query.Candidate{Leaf: leaf.ID, Warm: facts.Warm, HedgeAfter: delay})
+	}
+	if !found {
+		out.plan.Unavailable = p.whyNone(shard)
 	}
 	return out
 }
 
-// candidates returns the leaves that serve the snapshot: warm before others,
-// this zone's before others, and else in random order.
-func (p *planner) candidates(shard *topology.Shard, snap topology.Snapshot) []candidate {
-	var out []candidate
-	for _, leaf := range shard.Leaves {
-		facts, ok := p.facts(leaf)
-		if ok && facts.Usable && serves(facts, snap) {
-			out = append(out, candidate{leaf: leaf, facts: facts, local: leaf.Zone == p.zone})
+// variant is a plan with the leaves of each group in random order.
+func variant(shards []shardCandidates, snap topology.Snapshot) query.Plan {
+	plan := query.Plan{Snapshot: snap, Shards: make([]query.ShardPlan, len(shards))}
+	for i := range shards {
+		plan.Shards[i] = shards[i].plan
+		var candidates []query.Candidate
+		for _, group := range shards[i].groups {
+			from := len(candidates)
+			candidates = append(candidates, group...)
+			added := candidates[from:]
+			rand.Shuffle(len(added), func(a, b int) { added[a], added[b] = added[b], added[a] })
 		}
+		plan.Shards[i].Candidates = candidates
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	slices.SortStableFunc(out, func(a, b candidate) int {
-		if c := compareBool(a.facts.Warm, b.facts.Warm); c != 0 {
-			return c
-		}
-		return compareBool(a.local, b.local)
-	})
-	return out
+	return plan
 }
 
 // whyNone gives the reason that an answer names for a shard without leaves.
@@ -163,11 +173,7 @@
 	return f.PartitionGeneration == snap.PartitionGeneration && slices.Contains(f.IndexVersions, snap.IndexVersion)
 }
 
-// compareBool orders true first.
-func compareBool(a, b bool) int {
-	return cmp.Compare(rank(a), rank(b))
-}
-
+// rank orders true first.
 func rank(b bool) int {
 	if b {
 		return 0
--- a/internal/entry/view_builder.go
+++ b/internal/entry/view_builder.go
@@ -12,6 +12,11 @@
 	// rebuildInterval bounds how often a view is built from changing facts.
 	rebuildInterval = 20 * time.Millisecond
 	inputQueueSize  = 4096
+	// refreshInterval is how often silent relays are looked for, and
+	// refreshRounds in how many rounds each index is planned again for new
+	// hedge delays and another order of its leaves.
+	refreshInterval = time.Second
+	refreshRounds   = 10
 )
 
 // viewInput is one change that a view is built from; exactly one field is set.
@@ -59,7 +64,7 @@
 func (b *viewBuilder) run(ctx context.Context) {
 	tick := time.NewTicker(rebuildInterval)
 	defer tick.Stop()
-	refresh := time.NewTicker(time.Second)
+	refresh := time.NewTicker(refreshInterval)
 	defer refresh.Stop()
 	for {
 		select {
@@ -68,7 +73,7 @@
 		case <-tick.C:
 			b.rebuild()
 		case <-refresh.C:
-			b.markAll()
+			b.refresh()
 		case <-ctx.Done():
 			return
 		}
@@ -124,7 +129,28 @@
 	if b.current.topology == nil {
 		return
 	}
-	for _, id := range changed {
+	b.markLeaves(changed)
+}
+
+// refresh marks the indexes of relays that have fallen silent, and one part of
+// the others.
+func (b *viewBuilder) refresh() {
+	if b.current.topology == nil {
+		return
+	}
+	b.markLeaves(b.table.silenced(b.now()))
+	n := 0
+	for id := range b.current.topology.Indexes {
+		n++
+		if n*refreshRounds > len(b.current.topology.Indexes)+refreshRounds {
+			return
+		}
+		b.dirty[id] = true
+	}
+}
+
+func (b *viewBuilder) markLeaves(ids []topology.LeafID) {
+	for _, id := range ids {
 		if leaf, ok := b.current.topology.Leaves[id]; ok {
 			b.dirty[leaf.Index] = true
 		}
