Admit submits by class, and tell operators what they look for

Found by the reader of the operating page: submits bypassed admission; an entry stayed ready for ever without its agent, although the design says 6 s; the event kinds stopped, edit-accepted, zone-out, zone-in and upstream-leaving were never recorded; LeafStatus had no limit, running and queued requests or warm-up reason; a relay exported no metrics of its own.

--- a/internal/agent/subscribers.go
+++ b/internal/agent/subscribers.go
@@ -43,8 +43,10 @@
 		s.mu.Unlock()
 		return
 	}
+	old := s.manifest.Generation
 	s.manifest = m
 	s.mu.Unlock()
+	s.recordEdits(old, m)
 	detail := ""
 	if n := len(m.Edits); n > 0 {
 		detail = "edit " + m.Edits[n-1].EditID + " of section " + m.Edits[n-1].Section
@@ -53,6 +55,20 @@
 	s.tellManifest()
 }
 
+// recordEdits records the edits since a generation. Only agents that read the
+// store do, or every VM would record each edit.
+func (s *Server) recordEdits(since uint64, m confsync.Manifest) {
+	if !s.store.watching() {
+		return
+	}
+	for _, edit := range m.Edits {
+		if edit.Generation > since {
+			s.proc.Events.Add(timeline.KindEditAccepted, "", edit.Section,
+				"generation "+itoa(edit.Generation)+", edit "+edit.EditID+" by team "+edit.Team)
+		}
+	}
+}
+
 func (s *Server) tellManifest() {
 	s.mu.Lock()
 	m := s.manifest
--- a/internal/agentlink/link.go
+++ b/internal/agentlink/link.go
@@ -19,6 +19,9 @@
 const (
 	fetchTimeout = 2 * time.Second
 	inboxSize    = 256
+	// MaxSilence is how long a process stays ready without its agent. After
+	// it, an edit could be in force elsewhere for longer than is promised.
+	MaxSilence = 6 * time.Second
 )
 
 // Link is the connection of a process to its VM's agent.
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
@@ -14,6 +16,8 @@
 	// MayAccept is false after a pause of the process until the agent has
 	// confirmed the configuration.
 	MayAccept() bool
+	// Silence is how long nothing was heard from the agent.
+	Silence() time.Duration
 }
 
 // SetLink gives the entry its agent. It must be called before Run.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 
 	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
 	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
+	"github.com/medlarswitch/medlarswitch/internal/agentlink"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/telemetry"
@@ -104,6 +105,7 @@
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	klog.InfoS("Entry stopped", "idle", idle)
+	s.proc.Events.Add(timeline.KindStopped, "", string(s.proc.Self.VM), "")
 	s.frames.Close()
 	s.relays.Set(ctx, nil)
 	s.entries.Set(ctx, nil)
@@ -163,7 +165,7 @@
 		return
 	}
 	out.Generation = v.topology.Generation
-	out.Ready = !s.stopping.Load()
+	out.Ready = !s.stopping.Load() && s.agent.Silence() < agentlink.MaxSilence
 	for _, vm := range v.vms.VMs {
 		out.Vms = append(out.Vms, &medlarv1.VMStatus{Id: string(vm.ID), Zone: string(vm.Zone)})
 	}
--- a/internal/entry/submit_run.go
+++ b/internal/entry/submit_run.go
@@ -56,24 +56,45 @@
 func (s *Server) runSubmit(ctx context.Context, r *submission) {
 	leave := s.drain.Enter()
 	defer leave()
-	s.proc.Events.Add(timeline.KindSubmitStart, r.id, string(r.class.ID), r.ticket.String())
-	outcome := submit.Outcome{Kind: submit.NotRun, Reason: errs.ReasonDeadline}
-	defer func() { s.submits.finish(r.ticket, outcome) }()
+	s.proc.Events.Add(timeline.KindSubmitStart, r.id, string(r.class.ID), "")
+	ctx, cancel := context.WithTimeout(ctx, r.deadline-s.proc.Now()+s.maxRunLimit(r.class)+deadlineGrace)
+	defer cancel()
+	// The outcome is recorded whatever happens: the place of a ticket without
+	// one is never freed.
+	outcome := submit.Outcome{Kind: submit.Unknown, Reason: errs.ReasonInternal}
+	defer func() {
+		s.submits.finish(r.ticket, outcome)
+		s.proc.Events.Add(timeline.KindSubmitDone, r.id, string(r.class.ID), outcome.String())
+	}()
+	outcome = s.tryToRun(ctx, r)
+}
+
+// tryToRun passes the request through admission, quarantine and the ledger's
+// last check before it is sent. A refusal before that is "not run".
+func (s *Server) tryToRun(ctx context.Context, r *submission) submit.Outcome {
 	fingerprint, _, refused := s.policy.screen(r.class, r.payload)
 	if refused != nil {
-		outcome.Reason = refused.Reason
-		return
+		return notRun(refused.Reason)
+	}
+	release, refused := s.policy.admit(ctx, r.class, s.policy.expected(r.class.ID))
+	if refused != nil {
+		return notRun(refused.Reason)
 	}
-	if paused := s.mayAccept(errs.StepTicket); paused != nil {
-		outcome.Reason = paused.Reason
-		return
+	defer release()
+	if refused := s.mayAccept(errs.StepTicket); refused != nil {
+		return notRun(refused.Reason)
 	}
-	if s.submits.dispatch(r.ticket) {
-		ctx, cancel := context.WithTimeout(ctx, r.deadline-s.proc.Now()+deadlineGrace)
-		defer cancel()
-		outcome = s.sendSubmit(ctx, r, fingerprint)
+	if !s.submits.dispatch(r.ticket) {
+		return notRun(errs.ReasonDeadline)
 	}
-	s.proc.Events.Add(timeline.KindSubmitDone, r.id, string(r.class.ID), outcome.String())
+	began := s.proc.Now()
+	outcome := s.sendSubmit(ctx, r, fingerprint)
+	s.policy.took(r.class.ID, s.proc.Now()-began)
+	return outcome
+}
+
+func notRun(reason errs.Reason) submit.Outcome {
+	return submit.Outcome{Kind: submit.NotRun, Reason: reason}
 }
 
 // sendSubmit offers the request to leaves, one after the other, until one may
--- a/internal/relay/facts_hub.go
+++ b/internal/relay/facts_hub.go
@@ -81,13 +81,6 @@
 	h.broadcast(message.LeafFactsUpdate{Version: h.version})
 }
 
-// all returns the facts of all leaves.
-func (h *factsHub) all() []message.LeafFacts {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.list()
-}
-
 func (h *factsHub) list() []message.LeafFacts {
 	out := make([]message.LeafFacts, 0, len(h.facts))
 	for _, f := range h.facts {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -10,10 +10,12 @@
 	"k8s.io/klog/v2"
 
 	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/internal/agentlink"
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/telemetry"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 	"github.com/medlarswitch/medlarswitch/internal/wire"
 )
@@ -72,6 +74,7 @@
 	time.Sleep(drainDelay)
 	idle := s.drain.Wait(maxDrain)
 	klog.InfoS("Relay stopped", "idle", idle)
+	s.proc.Events.Add(timeline.KindStopped, "", string(s.proc.Self.VM), "")
 	_ = ln.Close()
 	s.links.Set(work, nil)
 	s.frames.Close()
@@ -176,6 +179,8 @@
 	// MayAccept is false after a pause of the process until the agent has
 	// confirmed the configuration.
 	MayAccept() bool
+	// Silence is how long nothing was heard from the agent.
+	Silence() time.Duration
 }
 
 // SetLink gives the relay its agent. It must be called before Run.
@@ -206,8 +211,10 @@
 	if s.topology != nil {
 		out.Generation = s.topology.Generation
 	}
-	out.Ready = s.topology != nil && !s.stopping
-	for _, f := range s.hub.all() {
-		out.Leaves = append(out.Leaves, &medlarv1.LeafStatus{Leaf: string(f.Leaf), State: f.State, Reason: f.Reason})
+	out.Ready = s.topology != nil && !s.stopping && s.agent.Silence() < agentlink.MaxSilence
+	for _, w := range s.workers {
+		if status := w.currentStatus(); status != nil {
+			out.Leaves = append(out.Leaves, status)
+		}
 	}
 }
--- a/internal/relay/server_config.go
+++ b/internal/relay/server_config.go
@@ -23,11 +23,29 @@
 	if s.topology != nil && t.Generation <= s.topology.Generation {
 		return
 	}
+	s.recordZones(t)
 	s.topology = t
 	s.proc.Events.Add(timeline.KindInForce, "", "generation", itoa(t.Generation))
 	s.reconcile(ctx)
 }
 
+// recordZones records zones that this generation takes out or brings back.
+func (s *Server) recordZones(next *topology.Topology) {
+	if s.topology == nil {
+		return
+	}
+	for name, zone := range next.Zones {
+		old, ok := s.topology.Zones[name]
+		switch {
+		case !ok || old.Out == zone.Out:
+		case zone.Out:
+			s.proc.Events.Add(timeline.KindZoneOut, "", string(name), "generation "+itoa(next.Generation))
+		default:
+			s.proc.Events.Add(timeline.KindZoneIn, "", string(name), "generation "+itoa(next.Generation))
+		}
+	}
+}
+
 // SetVMs brings a VM list into force. Lower versions are ignored.
 func (s *Server) SetVMs(ctx context.Context, v topology.VMView) {
 	s.leases.setVMs(v)
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/leafqueue"
 	"github.com/medlarswitch/medlarswitch/internal/message"
@@ -43,6 +45,8 @@
 	leases   leases
 	publish  func(message.LeafFacts)
 	inbox    chan workerEvent
+	metrics  *relayMetrics
+	status   atomic.Pointer[medlarv1.LeafStatus]
 
 	queue     *leafqueue.Queue
 	tracker   *warmup.Tracker
@@ -64,7 +68,8 @@
 
 func newLeafWorker(proc *telemetry.Process, leaf *topology.Leaf, index *topology.Index, connections int, l leases, publish func(message.LeafFacts)) *leafWorker {
 	return &leafWorker{
-		proc: proc, leaf: leaf, runLimit: index.RunLimit, leases: l, publish: publish,
+		metrics: newRelayMetrics(proc.Metrics),
+		proc:    proc, leaf: leaf, runLimit: index.RunLimit, leases: l, publish: publish,
 		client:   newLeafClient(leaf, connections),
 		inbox:    make(chan workerEvent, inboxSize),
 		queue:    leafqueue.New(leafqueue.Config{MaxQueued: maxQueued}),
@@ -103,6 +108,7 @@
 		}
 		w.probeIfDue(ctx)
 		w.tell()
+		w.storeStatus()
 		timer.Reset(w.nextWake())
 	}
 }
@@ -221,6 +227,7 @@
 		return
 	}
 	delete(w.requests, a.ID)
+	w.metrics.refused(a.Reason)
 	err := errs.New(errs.StepRelayQueue, string(w.leaf.ID), a.Reason, true, "refused by the leaf's queue")
 	w.proc.Events.Add(timeline.KindRefusal, req.message.RequestID, string(w.leaf.ID), string(a.Reason))
 	req.answer(failedReply(req, err))
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -29,6 +29,7 @@
 		req.startBy = min(req.startBy, until)
 	}
 	w.transitions(w.tracker.Step(now, warmup.Dispatched{}))
+	w.metrics.sent.Inc(1)
 	w.proc.Events.Add(timeline.KindLeafSend, req.message.RequestID, string(w.leaf.ID), "")
 
 	runCtx, cancel := context.WithTimeout(ctx, req.deadline-now)
@@ -51,6 +52,7 @@
 	delete(w.running, ev.id)
 	now := w.proc.Now()
 	w.transitions(w.tracker.Step(now, outcomeEvent(&ev.result)))
+	w.metrics.ended(&ev.result)
 	w.record(req, &ev.result)
 	req.answer(w.reply(req, &ev.result))
 	if ev.result.err == nil || ev.result.err.NotRun {
@@ -120,6 +122,9 @@
 
 func (w *leafWorker) transitions(changes []warmup.Transition) {
 	for _, c := range changes {
+		if c.To == warmup.Leaving {
+			w.proc.Events.Add(timeline.KindLeaving, "", string(w.leaf.ID), c.Reason)
+		}
 		w.proc.Events.Add(timeline.KindWarmup, "", string(w.leaf.ID), string(c.From)+" to "+string(c.To)+": "+c.Reason)
 	}
 }
--- /dev/null
+++ b/internal/relay/worker_status.go
@@ -0,0 +1,24 @@
+package relay
+
+import (
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+)
+
+// storeStatus keeps the leaf's state for operators. It is called by the
+// worker; currentStatus may be called by anyone.
+func (w *leafWorker) storeStatus() {
+	limit := w.tracker.Limit(w.proc.Now()).InFlight
+	reason := string(w.closedFor)
+	if reason == "" {
+		reason = w.tracker.Reason()
+	}
+	if w.closedFor != "" {
+		limit = 0
+	}
+	w.status.Store(&medlarv1.LeafStatus{
+		Leaf: string(w.leaf.ID), State: string(w.tracker.State()), Reason: reason,
+		Limit: float64(limit), InFlight: uint32(w.queue.Running()), Queued: uint32(w.queue.Queued()),
+	})
+}
+
+func (w *leafWorker) currentStatus() *medlarv1.LeafStatus { return w.status.Load() }
