Bound deadlines and run limits by what a planned stop waits for

A class could state a deadline of an hour, while a planned stop waits for 30 s and would have cut its requests off. The service document now allows 20 s for a deadline and 10 s for a run limit, and a stop waits for their sum. Ran: go vet; the servicedoc tests pass.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,9 +22,6 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	// maxDrain bounds the wait for running requests at a planned stop; no
-	// class may have a longer deadline.
-	maxDrain = 30 * time.Second
 	// expireInterval is how often expired tickets are dropped.
 	expireInterval = time.Second
 )
@@ -100,8 +97,8 @@
 	s.drain.Begin()
 	s.proc.Events.Add(timeline.KindDrain, "", string(s.proc.Self.VM), "")
 	time.Sleep(s.cfg.DrainDelay)
-	idle := s.drain.Wait(maxDrain)
-	ctx, cancel := context.WithTimeout(context.Background(), maxDrain)
+	idle := s.drain.Wait(lifecycle.MaxDrain)
+	ctx, cancel := context.WithTimeout(context.Background(), lifecycle.MaxDrain)
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	klog.InfoS("Entry stopped", "idle", idle)
--- a/internal/lifecycle/drain.go
+++ b/internal/lifecycle/drain.go
@@ -3,8 +3,14 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
+// MaxDrain bounds the wait for running requests at a planned stop. No request
+// may take longer.
+const MaxDrain = topology.MaxDeadline + topology.MaxRunLimit
+
 // Drain counts the work that a planned stop must wait for. It is safe for
 // concurrent use.
 type Drain struct {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -72,7 +72,7 @@
 	<-ctx.Done()
 	s.beginDrain()
 	time.Sleep(drainDelay)
-	idle := s.drain.Wait(maxDrain)
+	idle := s.drain.Wait(lifecycle.MaxDrain)
 	klog.InfoS("Relay stopped", "idle", idle)
 	s.proc.Events.Add(timeline.KindStopped, "", string(s.proc.Self.VM), "")
 	_ = ln.Close()
@@ -81,10 +81,6 @@
 	return nil
 }
 
-// maxDrain bounds the wait for running requests at a planned stop; no class
-// may have a longer deadline.
-const maxDrain = 30 * time.Second
-
 func (s *Server) beginDrain() {
 	s.drain.Begin()
 	s.mu.Lock()
--- a/internal/servicedoc/classes.go
+++ b/internal/servicedoc/classes.go
@@ -7,10 +7,7 @@
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
-const (
-	maxPriority = 255
-	maxDeadline = time.Hour
-)
+const maxPriority = 255
 
 func (c *checker) classes(p *parsed) {
 	for _, t := range p.root.Tables("class") {
@@ -34,8 +31,8 @@
 	scope, _ := t.Choice("scope", string(topology.ScopeAll), string(topology.ScopeOne))
 	priority, _ := t.Int("priority", 0, maxPriority)
 	prefer, _ := t.Choice("prefer", string(topology.PreferLatency), string(topology.PreferCoverage))
-	target, targetOK := t.Duration("latency_target", time.Millisecond, maxDeadline)
-	deadline, deadlineOK := t.Duration("deadline", time.Millisecond, maxDeadline)
+	target, targetOK := t.Duration("latency_target", time.Millisecond, topology.MaxDeadline)
+	deadline, deadlineOK := t.Duration("deadline", time.Millisecond, topology.MaxDeadline)
 	if targetOK && deadlineOK && target > deadline {
 		t.Report("latency_target", "is %v: expected at most the deadline, %v", target, deadline)
 	}
--- a/internal/servicedoc/limits.go
+++ b/internal/servicedoc/limits.go
@@ -15,7 +15,6 @@
 
 	minConnections = minConnectionShare*maxConnectionHolders + 1
 	maxConnections = 1 << 20
-	maxRunLimit    = time.Hour
 )
 
 // limits hold for each leaf of an index.
@@ -35,7 +34,7 @@
 	}
 	slots, slotsOK := t.Int("slots", 1, maxConnections)
 	connections, connOK := t.Int("connections", minConnections, maxConnections)
-	run, runOK := t.Duration("run_limit", time.Millisecond, maxRunLimit)
+	run, runOK := t.Duration("run_limit", time.Millisecond, topology.MaxRunLimit)
 	t.Finish()
 	l := limits{slots: int(slots), connections: int(connections), runLimit: run}
 	if slotsOK && connOK {
--- a/internal/topology/class.go
+++ b/internal/topology/class.go
@@ -21,6 +21,13 @@
 	CanaryNever   CanaryMode = "never"
 )
 
+// Bounds of what a service document may state. A planned stop waits for their
+// sum, see package lifecycle.
+const (
+	MaxDeadline = 20 * time.Second
+	MaxRunLimit = 10 * time.Second
+)
+
 // Scope tells how many shards a class of queries touches.
 type Scope string
 
