--- a/internal/ownership/rank.go
+++ b/internal/ownership/rank.go
@@ -14,6 +14,14 @@
 // ranking allocates nothing per VM. Longer ones are copied to the heap.
 const keyBytes = 264
 
+// MaxHolders is the number of relays that may hold connections to a leaf: both
+// ranks under the current and under the previous VM list.
+const MaxHolders = 2 * Ranks
+
+// ConnectionShare returns how many connections to a leaf each holder may have.
+// One connection of the leaf's limit stays free.
+func ConnectionShare(limit int) int { return (limit - 1) / MaxHolders }
+
 // Owners returns the relays of a leaf, rank 1 first, at most Ranks of them.
 // VMs that are leaving rank only when there are no others.
 func Owners(leaf topology.LeafID, vms []topology.VM) []topology.VM {
--- a/internal/relay/server_config.go
+++ b/internal/relay/server_config.go
@@ -8,14 +8,6 @@
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
-// connectionHolders is how many relays may hold connections to one leaf: two
-// ranks under the current and two under the previous VM list.
-const connectionHolders = 2 * ownership.Ranks
-
-// connectionShare is the number of connections that this relay may open to a
-// leaf. One of the leaf's limit is left for its operators.
-func connectionShare(limit int) int { return (limit - 1) / connectionHolders }
-
 // SetTopology brings a configuration into force. Lower generations are ignored.
 func (s *Server) SetTopology(ctx context.Context, t *topology.Topology) {
 	s.mu.Lock()
@@ -131,7 +123,7 @@
 func (s *Server) startWorker(ctx context.Context, leaf *topology.Leaf) {
 	index := s.topology.Indexes[leaf.Index]
 	ctx, cancel := context.WithCancel(ctx)
-	w := newLeafWorker(s.proc, leaf, index, connectionShare(index.Connections), s.leases, s.hub.publish)
+	w := newLeafWorker(s.proc, leaf, index, ownership.ConnectionShare(index.Connections), s.leases, s.hub.publish)
 	s.workers[leaf.ID] = &runningWorker{leafWorker: w, stop: cancel}
 	go w.run(ctx)
 }
--- a/internal/servicedoc/limits.go
+++ b/internal/servicedoc/limits.go
@@ -3,17 +3,15 @@
 import (
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/ownership"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
 const (
-	// maxConnectionHolders is the number of relays that may hold connections
-	// to one leaf: rank 1 and rank 2 in the current and the previous VM list.
-	maxConnectionHolders = 4
 	// minConnectionShare is one connection in use and one reserve.
 	minConnectionShare = 2
 
-	minConnections = minConnectionShare*maxConnectionHolders + 1
+	minConnections = minConnectionShare*ownership.MaxHolders + 1
 	maxConnections = 1 << 20
 )
 
@@ -23,10 +21,6 @@
 	runLimit           time.Duration
 }
 
-// ConnectionShare returns how many connections to a leaf each holder may have.
-// One connection of the leaf stays free.
-func ConnectionShare(connections int) int { return (connections - 1) / maxConnectionHolders }
-
 func readLimits(p *parsed) (limits, bool) {
 	t, ok := p.root.Table("limits")
 	if !ok {
@@ -38,7 +32,7 @@
 	t.Finish()
 	l := limits{slots: int(slots), connections: int(connections), runLimit: run}
 	if slotsOK && connOK {
-		usable := ConnectionShare(l.connections) - 1
+		usable := ownership.ConnectionShare(l.connections) - 1
 		if l.slots > usable {
 			t.Report("slots", "is %d: expected at most %d, the connections of one holder out of %d less its reserve",
 				l.slots, usable, l.connections)
