Adopt what the measurements of the policy suggest

Change: one leaf that is not warm or is slow leads in one plan of eight, in at most four plans; reports count without the relay's own requests; the tracker knows Cancelled; requests in a leaf that is not warm run on; hedge delays and half of the saved budget are kept apart for the highest priority; a leaf whose average is 2.5 times another's ranks last.

--- a/internal/entry/handler_query.go
+++ b/internal/entry/handler_query.go
@@ -69,7 +69,7 @@
 			Deadline: class.Deadline - waited, Canary: canary,
 			MaxAttempts: maxAttempts, MaxRestarts: maxRestarts,
 		}, plan),
-		budget: s.policy, done: make(chan struct{}),
+		budget: classBudget{policy: s.policy, tier: tierOf(class)}, done: make(chan struct{}),
 		events:   make(chan query.Event, len(plan.Shards)),
 		attempts: make(map[uint64]*attempt, len(plan.Shards)),
 	}
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -17,26 +17,29 @@
 // spread.
 const planVariants = 8
 
-// warmupPlans is the number of plans of an index that send one shard to a leaf
-// that is not warm although another one is. Without them a leaf whose replica
-// is warm would get no work and never warm up. One shard in a quarter of the
-// queries bounds how many answers wait for a slow leaf.
-const warmupPlans = 2
-
-// hedgeDelays gives the time after which a second request to another leaf of
-// a shard is worth sending; 0 means never.
-type hedgeDelays interface {
-	Delay(now time.Duration, shard topology.ShardID) time.Duration
+// leadPlans is the number of plans of an index in each of which one leaf that
+// would come last comes first in its shard. Without them a leaf whose replica is
+// warm would get no work, and would never warm up or show that it is fast again.
+// One such leaf in half of the plans bounds how many answers wait for one.
+const leadPlans = planVariants / 2
+
+// leafEstimates are what the entry's own requests show of leaves.
+type leafEstimates interface {
+	// Delay is the time after which a second request to another leaf of a
+	// shard is worth sending; 0 means never.
+	Delay(t tier, shard topology.ShardID) time.Duration
+	// Slow reports whether a leaf is much slower than another of its shard.
+	Slow(leaf *topology.Leaf, siblings []*topology.Leaf) bool
 }
 
 // planner builds the plans of one index from a view and the leaf table.
 type planner struct {
-	view  *view
-	table *leafTable
-	self  topology.VMID
-	zone  topology.Zone
-	hedge hedgeDelays
-	now   time.Duration
+	view      *view
+	table     *leafTable
+	self      topology.VMID
+	zone      topology.Zone
+	estimates leafEstimates
+	now       time.Duration
 }
 
 func (p *planner) plan(index *topology.Index) *indexView {
@@ -50,28 +53,60 @@
 	for i, shard := range index.Shards {
 		shards[i] = p.shard(shard, leaves, snap)
 	}
+	leads := pickLeads(shards)
 	for i := range planVariants {
 		plan := variant(shards, snap)
-		if i < warmupPlans {
-			warmOne(plan)
+		if i < len(leads) {
+			leads[i].putFirst(plan)
 		}
-		out.plans = append(out.plans, plan)
+		out.plans[tierHighest] = append(out.plans[tierHighest], plan)
+		out.plans[tierLower] = append(out.plans[tierLower], p.withDelays(plan, tierLower))
 	}
 	return out
 }
 
-// warmOne moves a leaf that is not warm to the front of one random shard that
-// has one.
-func warmOne(plan query.Plan) {
-	for _, i := range rand.Perm(len(plan.Shards)) {
-		candidates := plan.Shards[i].Candidates
-		cold := slices.IndexFunc(candidates, func(c query.Candidate) bool { return !c.Warm })
-		if cold <= 0 {
+// withDelays returns a plan with the hedge delays of a tier.
+func (p *planner) withDelays(plan query.Plan, t tier) query.Plan {
+	out := query.Plan{Snapshot: plan.Snapshot, Shards: slices.Clone(plan.Shards)}
+	for i := range out.Shards {
+		shard := &out.Shards[i]
+		shard.Candidates = slices.Clone(shard.Candidates)
+		delay := p.estimates.Delay(t, shard.Shard)
+		for j := range shard.Candidates {
+			shard.Candidates[j].HedgeAfter = delay
+		}
+	}
+	return out
+}
+
+// lead is a leaf that comes first in its shard in one plan.
+type lead struct {
+	shard int
+	leaf  topology.LeafID
+}
+
+// pickLeads picks random leaves that are not warm or slow, while another leaf
+// of their shard is better.
+func pickLeads(shards []shardCandidates) []lead {
+	var all []lead
+	for i := range shards {
+		if len(shards[i].groups[0])+len(shards[i].groups[1]) == 0 {
 			continue
 		}
-		candidates[0], candidates[cold] = candidates[cold], candidates[0]
-		return
+		for _, group := range shards[i].groups[2:] {
+			for _, c := range group {
+				all = append(all, lead{shard: i, leaf: c.Leaf})
+			}
+		}
 	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), leadPlans)]
+}
+
+func (l lead) putFirst(plan query.Plan) {
+	candidates := plan.Shards[l.shard].Candidates
+	i := slices.IndexFunc(candidates, func(c query.Candidate) bool { return c.Leaf == l.leaf })
+	candidates[0], candidates[i] = candidates[i], candidates[0]
 }
 
 // usableLeaves returns the facts of the leaves that may get work, looked up
@@ -113,14 +148,15 @@
 	groups [groupCount][]query.Candidate
 }
 
-// groupCount is the number of combinations of warm and local.
+// groupCount is the number of combinations of good (warm and not slow) and
+// local.
 const groupCount = 4
 
-// shard groups the leaves that serve the snapshot: warm before others, and
-// this zone's before others.
+// shard groups the leaves that serve the snapshot: warm ones that are not slow
+// before others, and this zone's before others.
 func (p *planner) shard(shard *topology.Shard, leaves map[topology.LeafID]message.LeafFacts, snap topology.Snapshot) shardCandidates {
 	out := shardCandidates{plan: query.ShardPlan{Shard: shard.ID, Weight: shard.Weight}}
-	delay := p.hedge.Delay(p.now, shard.ID)
+	delay := p.estimates.Delay(tierHighest, shard.ID)
 	found := false
 	for _, leaf := range shard.Leaves {
 		facts, ok := leaves[leaf.ID]
@@ -128,7 +164,8 @@
 			continue
 		}
 		found = true
-		group := 2*rank(facts.Warm) + rank(leaf.Zone == p.zone)
+		good := facts.Warm && !p.estimates.Slow(leaf, shard.Leaves)
+		group := 2*rank(good) + rank(leaf.Zone == p.zone)
 		out.groups[group] = append(out.groups[group], query.Candidate{Leaf: leaf.ID, Warm: facts.Warm, HedgeAfter: delay})
 	}
 	if !found {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -27,6 +27,24 @@
 	expectWeight = 16
 )
 
+// tier tells classes of the highest priority from the others. In an overload
+// the others wait in the leaves' queues, so hedge delays and the budget are kept
+// apart.
+type tier int
+
+const (
+	tierHighest tier = iota
+	tierLower
+	tierCount
+)
+
+func tierOf(class *topology.Class) tier {
+	if class.Priority == 0 {
+		return tierHighest
+	}
+	return tierLower
+}
+
 // policy holds what one entry decides over all its queries: admission, the
 // budget of hedges and retries, hedge delays and quarantine. It is safe for
 // concurrent use.
@@ -38,7 +56,8 @@
 
 	mu         sync.Mutex
 	budget     *budget.Budget
-	delays     *latency.Table
+	delays     [tierCount]*latency.Table
+	leaves     *latency.Leaves
 	quarantine *quarantine.Table
 	expects    map[topology.ClassID]time.Duration
 }
@@ -48,7 +67,8 @@
 		admitter:   newAdmitter(proc, cfg.MaxQueries),
 		spread:     spread,
 		budget:     budget.New(budget.Config{Share: extraShare, Burst: extraBurst}),
-		delays:     latency.NewTable(),
+		delays:     [tierCount]*latency.Table{latency.NewTable(), latency.NewTable()},
+		leaves:     latency.NewLeaves(),
 		quarantine: quarantine.New(quarantine.Config{Origin: uint64(proc.Self.Boot)}),
 		expects:    make(map[topology.ClassID]time.Duration),
 	}
@@ -106,32 +126,63 @@
 	p.budget.OnFirst(p.proc.Now())
 }
 
+// classBudget is the budget of hedges and retries as one class may use it.
+type classBudget struct {
+	policy *policy
+	tier   tier
+}
+
 // TrySpend implements query.Budget. A move counts as a retry: although it
 // adds no load to leaves, many at once would overload the relays.
-func (p *policy) TrySpend(kind query.Kind) bool {
+func (c classBudget) TrySpend(kind query.Kind) bool {
+	p := c.policy
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	spent := budget.KindRetry
 	if kind == query.KindHedge {
-		return p.budget.TrySpend(p.proc.Now(), budget.KindHedge)
+		spent = budget.KindHedge
+	}
+	if c.tier == tierLower {
+		return p.budget.TrySpendLower(p.proc.Now(), spent)
 	}
-	return p.budget.TrySpend(p.proc.Now(), budget.KindRetry)
+	return p.budget.TrySpend(p.proc.Now(), spent)
 }
 
-// observe counts how long a first attempt at a shard took.
-func (p *policy) observe(shard topology.ShardID, took time.Duration) {
+// observe counts how long a first attempt at a leaf took.
+func (p *policy) observe(t tier, shard topology.ShardID, leaf topology.LeafID, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delays.Observe(shard, took)
+	p.delays[t].Observe(shard, took)
+	if t == tierHighest {
+		p.leaves.Observe(leaf, took)
+	}
 }
 
-// Delay implements hedgeDelays.
-func (p *policy) Delay(_ time.Duration, shard topology.ShardID) time.Duration {
+// Delay implements leafEstimates.
+func (p *policy) Delay(t tier, shard topology.ShardID) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delay, _ := p.delays.HedgeDelay(shard)
+	delay, _ := p.delays[t].HedgeDelay(shard)
 	return delay
 }
 
+// Slow implements leafEstimates.
+func (p *policy) Slow(leaf *topology.Leaf, siblings []*topology.Leaf) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaves.Slow(leaf, siblings)
+}
+
+// retain forgets shards and leaves that a configuration no longer names.
+func (p *policy) retain(t *topology.Topology) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, table := range p.delays {
+		table.Retain(t.Shards)
+	}
+	p.leaves.Retain(t.Leaves)
+}
+
 // took records how long a query of a class ran after its admission.
 func (p *policy) took(class topology.ClassID, d time.Duration) {
 	p.mu.Lock()
--- a/internal/entry/query_run.go
+++ b/internal/entry/query_run.go
@@ -55,10 +55,11 @@
 // planFor returns one of the plans of a class.
 func planFor(v *view, class *topology.Class) (query.Plan, *errs.Error) {
 	index := v.indexes[class.Index]
-	if index == nil || len(index.plans) == 0 {
+	if index == nil || len(index.plans[tierHighest]) == 0 {
 		return query.Plan{}, errs.New(errs.StepPlan, string(class.Index), errs.ReasonNoLeaf, true, "no snapshot of index %q is served", class.Index)
 	}
-	plan := index.plans[rand.IntN(len(index.plans))]
+	plans := index.plans[tierOf(class)]
+	plan := plans[rand.IntN(len(plans))]
 	if class.Scope == topology.ScopeOne {
 		i := rand.IntN(len(plan.Shards))
 		plan.Shards = plan.Shards[i : i+1]
@@ -148,7 +149,7 @@
 		defer cancel()
 		reply, err := r.server.callLeaf(callCtx, &req, a.Shard, a.Snapshot)
 		if first {
-			r.server.policy.observe(a.Shard, r.server.proc.Now()-now)
+			r.server.policy.observe(tierOf(r.class), a.Shard, a.Leaf, r.server.proc.Now()-now)
 		}
 		if err == nil {
 			at.hits = reply.Hits
--- a/internal/entry/retained.go
+++ b/internal/entry/retained.go
@@ -44,11 +44,11 @@
 
 // coverable is the share of an index's data for which a plan has leaves.
 func coverable(v *indexView) float64 {
-	if len(v.plans) == 0 {
+	if len(v.plans[tierHighest]) == 0 {
 		return 0
 	}
 	var covered, total uint64
-	for _, shard := range v.plans[0].Shards {
+	for _, shard := range v.plans[tierHighest][0].Shards {
 		total += shard.Weight
 		if len(shard.Candidates) > 0 {
 			covered += shard.Weight
@@ -62,8 +62,8 @@
 
 // steadyPlan returns a plan that sends nothing to leaves for their warm-up.
 func (v *indexView) steadyPlan() (query.Plan, bool) {
-	if len(v.plans) == 0 {
+	if len(v.plans[tierHighest]) == 0 {
 		return query.Plan{}, false
 	}
-	return v.plans[len(v.plans)-1], true
+	return v.plans[tierHighest][planVariants-1], true
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -112,6 +112,7 @@
 // SetTopology brings a configuration into force.
 func (s *Server) SetTopology(_ context.Context, t *topology.Topology) {
 	s.proc.Events.Add(timeline.KindInForce, "", "generation", itoa(t.Generation))
+	s.policy.retain(t)
 	s.builder.inputs <- viewInput{topology: t}
 }
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -18,9 +18,10 @@
 // indexView is one index of a view.
 type indexView struct {
 	index *topology.Index
-	// plans are equal but for the order of leaves that are equally good, so
-	// that queries spread over them. Empty when no snapshot is served.
-	plans []query.Plan
+	// plans of a tier are equal but for the order of leaves that are equally
+	// good, so that queries spread over them. Empty when no snapshot is
+	// served.
+	plans [tierCount][]query.Plan
 }
 
 // relays returns the frame addresses of a leaf's relays, rank 1 first.
--- a/internal/entry/view_builder.go
+++ b/internal/entry/view_builder.go
@@ -37,12 +37,12 @@
 // viewBuilder collects inputs and publishes views. Its state belongs to the
 // goroutine that runs it.
 type viewBuilder struct {
-	self    topology.VMID
-	zone    topology.Zone
-	inputs  chan viewInput
-	publish func(*view)
-	hedge   hedgeDelays
-	now     func() time.Duration
+	self      topology.VMID
+	zone      topology.Zone
+	inputs    chan viewInput
+	publish   func(*view)
+	estimates leafEstimates
+	now       func() time.Duration
 
 	current *view
 	table   *leafTable
@@ -51,9 +51,9 @@
 	retained map[topology.IndexID]*topology.Index
 }
 
-func newViewBuilder(self topology.VMID, zone topology.Zone, hedge hedgeDelays, now func() time.Duration, publish func(*view)) *viewBuilder {
+func newViewBuilder(self topology.VMID, zone topology.Zone, estimates leafEstimates, now func() time.Duration, publish func(*view)) *viewBuilder {
 	return &viewBuilder{
-		self: self, zone: zone, hedge: hedge, now: now, publish: publish,
+		self: self, zone: zone, estimates: estimates, now: now, publish: publish,
 		inputs: make(chan viewInput, inputQueueSize), current: emptyView(),
 		table: newLeafTable(), dirty: make(map[topology.IndexID]bool),
 		retained: make(map[topology.IndexID]*topology.Index),
@@ -178,7 +178,7 @@
 			next.indexes[id] = old
 			continue
 		}
-		p := planner{view: &next, table: b.table, self: b.self, zone: b.zone, hedge: b.hedge, now: b.now()}
+		p := planner{view: &next, table: b.table, self: b.self, zone: b.zone, estimates: b.estimates, now: b.now()}
 		next.indexes[id] = b.planRetained(&p, index)
 	}
 	clear(b.dirty)
--- a/internal/entry/view_builder_test.go
+++ b/internal/entry/view_builder_test.go
@@ -13,7 +13,9 @@
 // noHedges never asks for a hedge.
 type noHedges struct{}
 
-func (noHedges) Delay(time.Duration, topology.ShardID) time.Duration { return 0 }
+func (noHedges) Delay(tier, topology.ShardID) time.Duration { return 0 }
+
+func (noHedges) Slow(*topology.Leaf, []*topology.Leaf) bool { return false }
 
 // testTopology has one index with the given shards, two leaves each, one in
 // each of two zones.
@@ -64,17 +66,17 @@
 		b.hear(leaf, 1, true)
 	}
 	b.takeTopology(testTopology(2, 2, "s0", "s1x"))
-	assert.Equal(t, b.current.indexes["i"].plans[0].Snapshot.PartitionGeneration, uint64(1))
+	assert.Equal(t, b.current.indexes["i"].plans[tierHighest][0].Snapshot.PartitionGeneration, uint64(1))
 	for i, leaf := range leaves {
 		b.hear(leaf, 2, true)
 		assert.Assert(t, coverable(b.current.indexes["i"]) >= 0.5, "after %d switches", i+1)
 	}
-	assert.Equal(t, b.current.indexes["i"].plans[0].Snapshot.PartitionGeneration, uint64(2))
+	assert.Equal(t, b.current.indexes["i"].plans[tierHighest][0].Snapshot.PartitionGeneration, uint64(2))
 	assert.Equal(t, coverable(b.current.indexes["i"]), 1.0)
 }
 
 // Guards against a leaf that never warms up because its replica is warm, and
-// against more than a quarter of the plans with a cold leaf in front.
+// against a plan with more than one cold leaf in front.
 func TestSomePlansWarmALeafUp(t *testing.T) {
 	b := testBuilder(testTopology(1, 1, "s0", "s1"))
 	for _, leaf := range []topology.LeafID{"a0", "a1"} {
@@ -83,15 +85,18 @@
 	for _, leaf := range []topology.LeafID{"b0", "b1"} {
 		b.hear(leaf, 1, false)
 	}
-	cold := 0
-	for _, plan := range b.current.indexes["i"].plans {
+	leads := map[topology.LeafID]int{}
+	for _, plan := range b.current.indexes["i"].plans[tierHighest] {
+		cold := 0
 		for _, shard := range plan.Shards {
-			if !shard.Candidates[0].Warm {
+			if first := shard.Candidates[0]; !first.Warm {
 				cold++
+				leads[first.Leaf]++
 			}
 		}
+		assert.Assert(t, cold <= 1, "%d cold leaves in front of one plan", cold)
 	}
-	assert.Equal(t, cold, warmupPlans)
+	assert.DeepEqual(t, leads, map[topology.LeafID]int{"b0": 1, "b1": 1})
 	plan, _ := b.current.indexes["i"].steadyPlan()
 	assert.Assert(t, plan.Shards[0].Candidates[0].Warm && plan.Shards[1].Candidates[0].Warm)
 }
@@ -104,7 +109,7 @@
 	out := testTopology(2, 1, "s0")
 	out.Zones["b"] = topology.ZoneState{Name: "b", Out: true}
 	b.takeTopology(out)
-	for _, plan := range b.current.indexes["i"].plans {
+	for _, plan := range b.current.indexes["i"].plans[tierHighest] {
 		assert.Equal(t, len(plan.Shards[0].Candidates), 1)
 		assert.Equal(t, plan.Shards[0].Candidates[0].Leaf, topology.LeafID("a0"))
 	}
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -1,7 +1,6 @@
 package measure
 
-// Policy is what a run measures. The zero value is the policy as the entry and
-// the relay use it.
+// Policy is what a run measures. The zero value is First.
 type Policy struct {
 	// Baseline is a plain fan-out instead: no hedges, no warm-up, a fixed
 	// share of connections, and a wait for all shards until the deadline.
@@ -43,22 +42,31 @@
 func Plain() Policy { return Policy{Baseline: true} }
 
 // Current is the policy as the entry and the relay use it.
-func Current() Policy { return Policy{} }
-
-// Proposed is the policy with the changes that the measurements suggest.
-func Proposed() Policy {
+func Current() Policy {
 	return Policy{
 		ColdFirst: true, KeepColdRuns: true, CancelCensored: true,
-		ProbeOnClose: true, SlowLast: true, DelayPerClass: true, OthersLoad: true,
+		SlowLast: true, DelayPerClass: true, OthersLoad: true,
 		Reserve: true,
 	}
 }
 
+// Proposed is the policy with the changes that the measurements suggest.
+func Proposed() Policy {
+	p := Current()
+	p.ProbeOnClose = true
+	return p
+}
+
+// First is the policy before the first measurements.
+func First() Policy { return Policy{} }
+
 // Name returns the policy's name in tables.
 func (p Policy) Name() string {
 	switch p {
 	case Plain():
 		return "baseline"
+	case First():
+		return "first"
 	case Current():
 		return "current"
 	case Proposed():
--- a/internal/measure/relay.go
+++ b/internal/measure/relay.go
@@ -28,8 +28,6 @@
 	nextID   uint64
 	open     bool
 	facts    facts
-	// shed is when the leaf last refused a request.
-	shed time.Duration
 	// unsure is set while the leaf's connections are closed and its probe runs.
 	unsure bool
 	// timers numbers the wake-ups, so that an earlier one is ignored.
@@ -90,12 +88,7 @@
 		return leafqueue.SetLimit{}
 	}
 	limit := r.tracker.Limit(r.sim.now)
-	out := leafqueue.SetLimit{InFlight: limit.InFlight, NotBefore: limit.NotBefore}
-	refused := r.shed > 0 && r.sim.now-r.shed < typicalRun
-	if r.sim.policy.CancelCensored && r.tracker.State() == warmup.Warm && !refused {
-		out.NotBefore = 0
-	}
-	return out
+	return leafqueue.SetLimit{InFlight: limit.InFlight, NotBefore: limit.NotBefore}
 }
 
 func (r *relay) apply(actions []leafqueue.Action) {
--- a/internal/measure/relay_dispatch.go
+++ b/internal/measure/relay_dispatch.go
@@ -56,10 +56,9 @@
 }
 
 func (r *relay) observe(req *leafRequest, o outcome, boot uint64) {
-	now := r.sim.now
 	switch o {
 	case outcomeReply:
-		r.track(warmup.Replied{Latency: now - req.sent, Boot: boot})
+		r.track(warmup.Replied{Latency: r.sim.now - req.sent, Boot: boot})
 	case outcomeReset:
 		r.track(warmup.Reset{})
 	case outcomeTimedOut:
@@ -67,7 +66,6 @@
 	case outcomeCancelled:
 		r.track(r.cancelledEvent(req))
 	default:
-		r.shed = now
 		r.track(warmup.Refused{})
 	}
 }
@@ -76,14 +74,11 @@
 	r.sim.result.fell(r.tracker.Step(r.sim.now, ev))
 }
 
-// longRun is what a request of a healthy leaf seldom takes.
-const longRun = 2 * typicalRun
-
-// cancelledEvent is Refused as in the relay, since the tracker knows no event
+// cancelledEvent is Refused as in the first relay, whose tracker knew no event
 // for a request that its caller withdrew.
 func (r *relay) cancelledEvent(req *leafRequest) warmup.Event {
-	if r.sim.policy.CancelCensored && r.sim.now-req.sent > longRun {
-		return warmup.TimedOut{}
+	if r.sim.policy.CancelCensored {
+		return warmup.Cancelled{Ran: r.sim.now - req.sent}
 	}
 	return warmup.Refused{}
 }
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -41,6 +41,7 @@
 	proc     *telemetry.Process
 	leaf     *topology.Leaf
 	runLimit time.Duration
+	slots    int
 	client   *leafClient
 	leases   leases
 	publish  func(message.LeafFacts)
@@ -69,7 +70,7 @@
 func newLeafWorker(proc *telemetry.Process, leaf *topology.Leaf, index *topology.Index, connections int, l leases, publish func(message.LeafFacts)) *leafWorker {
 	return &leafWorker{
 		metrics: newRelayMetrics(proc.Metrics),
-		proc:    proc, leaf: leaf, runLimit: index.RunLimit, leases: l, publish: publish,
+		proc:    proc, leaf: leaf, runLimit: index.RunLimit, slots: max(index.Slots, 1), leases: l, publish: publish,
 		client:   newLeafClient(leaf, connections),
 		inbox:    make(chan workerEvent, inboxSize),
 		queue:    leafqueue.New(leafqueue.Config{MaxQueued: maxQueued}),
@@ -214,13 +215,21 @@
 		case leafqueue.Refuse:
 			w.refuse(a)
 		case leafqueue.Abort:
-			if cancel, ok := w.running[a.ID]; ok {
-				cancel()
-			}
+			w.abort(a.ID)
 		}
 	}
 }
 
+// abort cancels a request that runs. In a leaf that is not warm it goes on: its
+// reply counts for the warm-up, and its slot would be held until its run limit
+// anyway.
+func (w *leafWorker) abort(id uint64) {
+	cancel, ok := w.running[id]
+	if ok && !w.tracker.NeedsLease() {
+		cancel()
+	}
+}
+
 func (w *leafWorker) refuse(a leafqueue.Refuse) {
 	req, ok := w.requests[a.ID]
 	if !ok {
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -95,6 +95,8 @@
 		return warmup.Reset{}
 	case r.err.Reason == errs.ReasonDeadline:
 		return warmup.TimedOut{}
+	case r.err.Reason == errs.ReasonCancelled:
+		return warmup.Cancelled{Ran: r.runTime}
 	default:
 		return warmup.Refused{}
 	}
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -39,7 +39,7 @@
 	}
 	r := ev.report
 	w.transitions(w.tracker.Step(now, warmup.Probed{OK: true, Boot: r.GetBootId()}))
-	w.transitions(w.tracker.Step(now, warmup.Report{Boot: r.GetBootId(), Load: r.GetLoad(), Leaving: r.GetLeaving()}))
+	w.transitions(w.tracker.Step(now, warmup.Report{Boot: r.GetBootId(), Load: w.othersLoad(r.GetLoad()), Leaving: r.GetLeaving()}))
 	w.facts.IndexVersions = r.GetIndexVersions()
 	w.facts.PartitionGeneration = r.GetPartitionGeneration()
 	w.facts.Boot = r.GetBootId()
@@ -49,6 +49,12 @@
 	}
 }
 
+// othersLoad takes this relay's own requests out of the load that a leaf
+// reports. Otherwise a relay that uses all slots would lower its own limit.
+func (w *leafWorker) othersLoad(load float64) float64 {
+	return max(load-float64(w.queue.Running())/float64(w.slots), 0)
+}
+
 // tell publishes the leaf's facts when they changed.
 func (w *leafWorker) tell() {
 	f := w.facts
--- a/internal/warmup/event.go
+++ b/internal/warmup/event.go
@@ -1,7 +1,7 @@
 package warmup
 
 // Event is an input of Tracker.Step. Each Dispatched is followed by exactly one
-// of Replied, Refused, TimedOut or Reset for the same request.
+// of Replied, Refused, Cancelled, TimedOut or Reset for the same request.
 type Event interface{ event() }
 
 // Dispatched says that a request was sent.
--- a/internal/warmup/latencies.go
+++ b/internal/warmup/latencies.go
@@ -31,13 +31,19 @@
 // slow reports whether a latency is above the bound. The first reply has no
 // bound.
 func (l *latencies) slow(d time.Duration) bool {
-	switch {
-	case l.baseline.set:
-		return above(d, l.baseline.value)
-	case l.recent.set:
-		return above(d, l.lowest)
+	normal := l.normal()
+	return normal > 0 && above(d, normal)
+}
+
+// normal is the latency that replies are compared with, 0 before the first.
+func (l *latencies) normal() time.Duration {
+	if l.baseline.set {
+		return l.baseline.value
+	}
+	if l.recent.set {
+		return l.lowest
 	}
-	return false
+	return 0
 }
 
 func above(d, normal time.Duration) bool {
--- a/internal/warmup/tracker.go
+++ b/internal/warmup/tracker.go
@@ -94,6 +94,8 @@
 	case Reset:
 		t.ended()
 		t.fallMeasured("connection reset")
+	case Cancelled:
+		t.cancelled(ev)
 	case ConnectFailed:
 		t.connectFailed(now)
 	case Probed:
