--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -12,14 +12,15 @@
 
 // control returns the HTTP endpoint through which a test makes parts fail:
 //
-//	GET  /leaves, /store
+//	GET  /leaves, /store, /runs?request=ID
 //	POST /leaf?id=ID&action=stop|start|crash|cold|silent|loud|leave|stay|slow&ms=N|versions&list=1,2
 //	POST /store?action=down|up|lose|delay&n=N
-//	POST /vm?id=ID&action=remove|leaving
+//	POST /vm?id=ID&action=remove|leaving|relay&address=ADDRESS
 func (s *Server) control() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /leaves", s.listLeaves)
 	mux.HandleFunc("GET /store", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Store.Calls()) })
+	mux.HandleFunc("GET /runs", s.listRuns)
 	mux.HandleFunc("POST /leaf", s.controlLeaf)
 	mux.HandleFunc("POST /store", s.controlStore)
 	mux.HandleFunc("POST /vm", s.controlVM)
@@ -34,6 +35,17 @@
 	writeJSON(w, out)
 }
 
+// listRuns says how often each leaf started a non-idempotent request.
+func (s *Server) listRuns(w http.ResponseWriter, r *http.Request) {
+	out := make(map[string]int)
+	for id, leaf := range s.Leaves {
+		if n := leaf.Runs(r.URL.Query().Get("request")); n > 0 {
+			out[id] = n
+		}
+	}
+	writeJSON(w, out)
+}
+
 func (s *Server) controlLeaf(w http.ResponseWriter, r *http.Request) {
 	leaf, ok := s.Leaves[r.URL.Query().Get("id")]
 	if !ok {
@@ -92,7 +104,9 @@
 		if vm.GetId() == id && action == "remove" {
 			continue
 		}
-		if vm.GetId() == id {
+		if vm.GetId() == id && action == "relay" {
+			vm.RelayAddress = r.URL.Query().Get("address")
+		} else if vm.GetId() == id {
 			vm.Leaving = action == "leaving"
 		}
 		vms = append(vms, vm)
--- a/internal/standin/leaf_run.go
+++ b/internal/standin/leaf_run.go
@@ -97,6 +97,13 @@
 	return l.runs[requestID]
 }
 
+// Runs returns how often the leaf started a non-idempotent request.
+func (l *Leaf) Runs(requestID string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[requestID]
+}
+
 func (l *Leaf) count(f func(*LeafStats)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
