Admit a class again after a query that took its whole deadline

Cause: an entry expects a query of a class to take as long as the earlier ones, and sheds a query that is expected to miss its deadline. After a first query that took the whole deadline, every later one of the class was shed at that entry for ever, since only queries that run change the expectation. The expectation is now at most half of the deadline.

--- a/internal/entry/handler_query.go
+++ b/internal/entry/handler_query.go
@@ -44,7 +44,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, class.Deadline+deadlineGrace)
 	defer cancel()
-	release, err := s.policy.admit(ctx, class, s.policy.expected(class.ID))
+	release, err := s.policy.admit(ctx, class, s.policy.expected(class))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -145,8 +145,10 @@
 }
 
 // expected is how long a query of a class is expected to run, for admission.
-func (p *policy) expected(class topology.ClassID) time.Duration {
+// It is at most half of the deadline: only queries that run change it, so a
+// class that once took its whole deadline would be refused for ever.
+func (p *policy) expected(class *topology.Class) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.expects[class]
+	return min(p.expects[class.ID], class.Deadline/2)
 }
