Test cold starts with the real processes

The stand-in leaf ended requests of an earlier boot as served requests of the new one, so that a crashed leaf was warm too early; it now drops them.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -33,6 +33,9 @@
 	Dir        string
 	User       string
 	VMsPerZone int
+	// CutZone names a zone whose VMs reach the platform through a forwarder
+	// that Cut stops.
+	CutZone string
 }
 
 // Cluster is a running installation.
@@ -44,6 +47,7 @@
 	standin  *Process
 	procs    map[string]*Process
 	http     *http.Client
+	cut      *forwarder
 }
 
 // Start runs the stand-ins and all processes. Clusters of one machine use
@@ -75,6 +79,9 @@
 	if err := c.waitHTTP(ctx, c.Fleet.ControlURL()+"/store"); err != nil {
 		return err
 	}
+	if err := c.startForwarder(); err != nil {
+		return err
+	}
 	for vm := range c.Fleet.VMs {
 		for _, role := range roles {
 			if err := c.StartProcess(vm, role); err != nil {
@@ -125,6 +132,9 @@
 			p.Kill()
 		}
 	}
+	if c.cut != nil {
+		c.cut.close()
+	}
 	if c.standin != nil && c.standin.Running() {
 		c.standin.Kill()
 	}
--- /dev/null
+++ b/internal/harness/cut_leaves.go
@@ -0,0 +1,137 @@
+package harness
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/medlarswitch/medlarswitch/internal/ownership"
+	"github.com/medlarswitch/medlarswitch/internal/standin"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// Suffixes of the two leaves of a shard.
+const (
+	firstLeaf  = "-1"
+	secondLeaf = "-2"
+)
+
+// Replica names the other leaf of the shard of a first leaf.
+func Replica(leaf string) string { return strings.TrimSuffix(leaf, firstLeaf) + secondLeaf }
+
+// Searched gives an error until a leaf has started a number of searches.
+func (c *Cluster) Searched(leaf string, n uint64) error {
+	s, err := c.LeafStats(leaf)
+	if err == nil && s.Searches < n {
+		return errors.Errorf("leaf %s: %d searches of %d", leaf, s.Searches, n)
+	}
+	return err
+}
+
+// LeafStats returns the counters of one leaf.
+func (c *Cluster) LeafStats(id string) (standin.LeafStats, error) {
+	leaves, err := c.Leaves()
+	if err != nil {
+		return standin.LeafStats{}, err
+	}
+	for _, l := range leaves {
+		if l.ID == id {
+			return l, nil
+		}
+	}
+	return standin.LeafStats{}, errors.Errorf("leaf %s does not exist", id)
+}
+
+// Overloaded names the leaves that got more load than they bear while cold.
+func (c *Cluster) Overloaded() (names []string, err error) {
+	leaves, err := c.Leaves()
+	for _, l := range leaves {
+		if l.ColdOverloads > 0 {
+			names = append(names, l.ID)
+		}
+	}
+	return names, err
+}
+
+// SomeWarm returns warm leaves of an index, and an error if they are fewer than
+// wanted.
+func (c *Cluster) SomeWarm(index string, wanted int) (warm []string, err error) {
+	leaves, err := c.Leaves()
+	for _, l := range leaves {
+		if strings.HasPrefix(l.ID, index) && l.Warm {
+			warm = append(warm, l.ID)
+		}
+	}
+	if err == nil && len(warm) < wanted {
+		err = errors.Errorf("%d warm leaves of %d", len(warm), wanted)
+	}
+	return warm, err
+}
+
+// LastWork returns when a leaf of a zone last started a request.
+func (c *Cluster) LastWork(zone string) (time.Time, error) {
+	leaves, err := c.Leaves()
+	var last int64
+	for i, l := range leaves {
+		if c.Fleet.Leaves[i].Zone == zone {
+			last = max(last, l.LastWorkUnixMS)
+		}
+	}
+	return time.UnixMilli(last), err
+}
+
+// LeafOf returns the first leaf of a shard of an index that is in a zone, with
+// the VMs that rank first and second for it.
+func (c *Cluster) LeafOf(index, zone string) (leaf string, owners []int) {
+	for _, l := range c.Fleet.Leaves {
+		if l.Zone == zone && strings.HasPrefix(l.ID, index) && strings.HasSuffix(l.ID, firstLeaf) {
+			return l.ID, c.owners(l)
+		}
+	}
+	return "", nil
+}
+
+func (c *Cluster) owners(l standin.LeafConfig) (out []int) {
+	var vms []topology.VM
+	number := make(map[topology.VMID]int)
+	for i, vm := range c.Fleet.VMs {
+		number[topology.VMID(vm.GetId())] = i
+		if vm.GetZone() == l.Zone {
+			vms = append(vms, topology.VM{ID: topology.VMID(vm.GetId())})
+		}
+	}
+	for _, vm := range ownership.Owners(topology.LeafID(l.ID), vms) {
+		out = append(out, number[vm.ID])
+	}
+	return out
+}
+
+// LeafWarm gives an error while a leaf is cold.
+func (c *Cluster) LeafWarm(id string) error {
+	s, err := c.LeafStats(id)
+	if err == nil && !s.Warm {
+		return errors.Errorf("leaf %s is cold", id)
+	}
+	return err
+}
+
+// LeafState gives an error unless a VM's relay has a leaf in one of the states.
+func (c *Cluster) LeafState(ctx context.Context, vm int, leaf string, states ...string) error {
+	status, err := c.Status(ctx, vm, RoleRelay)
+	if err != nil {
+		return err
+	}
+	for _, l := range status.GetLeaves() {
+		if l.GetLeaf() != leaf {
+			continue
+		}
+		if slices.Contains(states, l.GetState()) {
+			return nil
+		}
+		return errors.Errorf("leaf %s is %s %s", leaf, l.GetState(), l.GetReason())
+	}
+	return errors.Errorf("relay of vm %d does not have leaf %s", vm, leaf)
+}
--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -17,7 +17,7 @@
 	case RoleAgent:
 		next := c.Fleet.VMAddress((vm+1)%len(c.Fleet.VMs), standin.PortAgentFrames)
 		return common + fmt.Sprintf("admin = %q\nplatform = %q\npoll_interval = \"1s\"\npeers = [%q]\n",
-			addr(standin.PortAgentAdmin), c.Fleet.PlatformURL(), next)
+			addr(standin.PortAgentAdmin), c.platformURL(vm), next)
 	case RoleRelay:
 		return common + fmt.Sprintf("admin = %q\nframes = %q\n", addr(standin.PortRelayAdmin), addr(standin.PortRelayFrames))
 	default:
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -13,7 +13,8 @@
 // control returns the HTTP endpoint through which a test makes parts fail:
 //
 //	GET  /leaves, /store
-//	POST /leaf?id=ID&action=stop|start|crash|cold|silent|loud|leave|stay|slow&ms=N|versions&list=1,2
+//	POST /leaf?id=ID&action=stop|start|crash|cold|silent|loud|leave|stay|
+//	  idle|honest|slow&ms=N|versions&list=1,2
 //	POST /store?action=down|up|lose|delay&n=N
 //	POST /vm?id=ID&action=remove|leaving
 func (s *Server) control() http.Handler {
@@ -57,6 +58,8 @@
 		leaf.SetSilent(action == "silent")
 	case "leave", "stay":
 		leaf.SetLeaving(action == "leave")
+	case "idle", "honest":
+		leaf.SetLyingIdle(action == "idle")
 	case "slow":
 		leaf.SetSlow(time.Duration(number(r, "ms")) * time.Millisecond)
 	case "versions":
--- a/internal/standin/leaf.go
+++ b/internal/standin/leaf.go
@@ -84,10 +84,11 @@
 
 // Search implements the LeafService.
 func (l *Leaf) Search(ctx context.Context, req *connect.Request[medlarv1.SearchRequest]) (*connect.Response[medlarv1.SearchResponse], error) {
-	if err := l.startRun(ctx, req.Msg.GetStartByUnixMs()); err != nil {
+	boot, err := l.startRun(ctx, req.Msg.GetStartByUnixMs())
+	if err != nil {
 		return nil, err
 	}
-	defer l.endRun()
+	defer l.endRun(boot)
 	l.count(func(s *LeafStats) { s.Searches++ })
 	snap := req.Msg.GetSnapshot()
 	if !l.serves(snap) {
@@ -103,10 +104,11 @@
 
 // Execute implements the LeafService.
 func (l *Leaf) Execute(ctx context.Context, req *connect.Request[medlarv1.ExecuteRequest]) (*connect.Response[medlarv1.ExecuteResponse], error) {
-	if err := l.startRun(ctx, req.Msg.GetStartByUnixMs()); err != nil {
+	boot, err := l.startRun(ctx, req.Msg.GetStartByUnixMs())
+	if err != nil {
 		return nil, err
 	}
-	defer l.endRun()
+	defer l.endRun(boot)
 	runs := l.countRun(req.Msg.GetRequestId())
 	if err := l.work(ctx, string(req.Msg.GetPayload())); err != nil {
 		return nil, err
--- a/internal/standin/leaf_control.go
+++ b/internal/standin/leaf_control.go
@@ -12,7 +12,9 @@
 func (l *Leaf) Crash() {
 	l.mu.Lock()
 	l.boot = rand.Uint64()
-	l.served = 0
+	l.served, l.running = 0, 0
+	close(l.slotFree)
+	l.slotFree = make(chan struct{})
 	l.stats.Crashes++
 	conns := l.conns
 	l.conns = make(map[net.Conn]struct{})
@@ -43,6 +45,13 @@
 	l.leaving = leaving
 }
 
+// SetLyingIdle makes the leaf report no load whatever runs, or ends that.
+func (l *Leaf) SetLyingIdle(lying bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lyingIdle = lying
+}
+
 // SetSlow adds to the run time of each request.
 func (l *Leaf) SetSlow(d time.Duration) {
 	l.mu.Lock()
--- a/internal/standin/leaf_run.go
+++ b/internal/standin/leaf_run.go
@@ -10,32 +10,35 @@
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 )
 
-// startRun takes a slot for a request, waits for one, or refuses.
-func (l *Leaf) startRun(ctx context.Context, startBy int64) error {
+// startRun takes a slot for a request, waits for one, or refuses. It returns
+// the boot that runs the request.
+func (l *Leaf) startRun(ctx context.Context, startBy int64) (boot uint64, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.leaving {
-		return refusal(errs.ReasonLeaving, l.cfg.ID)
+		l.stats.LeavingRefused++
+		l.stats.LastRefusedUnixMS = time.Now().UnixMilli()
+		return 0, refusal(errs.ReasonLeaving, l.cfg.ID)
 	}
 	if l.waiting >= queuePerSlot*l.cfg.Slots {
 		l.stats.Shed++
-		return refusal(errs.ReasonShed, l.cfg.ID)
+		return 0, refusal(errs.ReasonShed, l.cfg.ID)
 	}
 	for l.running >= l.cfg.Slots {
 		if err := l.waitForSlot(ctx); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	if startBy != 0 && time.Now().UnixMilli() > startBy {
 		l.stats.LateStarts++
-		return refusal(errs.ReasonStartBy, l.cfg.ID)
+		return 0, refusal(errs.ReasonStartBy, l.cfg.ID)
 	}
 	l.running++
 	if !l.warm() && l.running > 1 {
 		l.stats.ColdOverloads++
 	}
 	l.stats.LastWorkUnixMS = time.Now().UnixMilli()
-	return nil
+	return l.boot, nil
 }
 
 // waitForSlot is called with the lock held and returns with it held.
@@ -54,9 +57,13 @@
 	return err
 }
 
-func (l *Leaf) endRun() {
+// endRun frees the slot of a request. One of an earlier boot has none.
+func (l *Leaf) endRun(boot uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if boot != l.boot {
+		return
+	}
 	l.running--
 	l.served++
 	close(l.slotFree)
--- a/internal/standin/leaf_stats.go
+++ b/internal/standin/leaf_stats.go
@@ -11,7 +11,11 @@
 	Shed    uint64
 	// LateStarts counts refusals because of the start-by time.
 	LateStarts uint64
-	Crashes    uint64
+	// LeavingRefused counts refusals because the leaf leaves, and
+	// LastRefusedUnixMS is when the latest one was.
+	LeavingRefused    uint64
+	LastRefusedUnixMS int64
+	Crashes           uint64
 	// ColdOverloads counts requests beyond the one that a cold leaf bears.
 	ColdOverloads uint64
 	Cancelled     uint64
--- /dev/null
+++ b/test/process/main_test.go
@@ -0,0 +1,34 @@
+// Package process_test runs the real processes on loopback under faults.
+package process_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+)
+
+// bin is the directory of the programs under test.
+var bin = os.Getenv("MEDLAR_BIN")
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	if bin != "" {
+		return m.Run()
+	}
+	dir, err := os.MkdirTemp("", "medlar-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	bin = dir
+	build := exec.Command("go", "build", "-race", "-o", dir, "../../cmd/...")
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build the programs:", err)
+		return 1
+	}
+	return m.Run()
+}
