Test configuration edits with the real processes

Concurrent edits of one and of two sections, an edit that another one makes invalid, lost replies of both writes of an edit, a store that goes down right after the acceptance with a VM restarted meanwhile, and a VM that was frozen while a zone went out. The generations of all processes are polled throughout and must not fall.

--- /dev/null
+++ b/test/process/config_test.go
@@ -0,0 +1,178 @@
+package process_test
+
+import (
+	"context"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/editor"
+	"github.com/medlarswitch/medlarswitch/internal/harness"
+	"github.com/medlarswitch/medlarswitch/internal/platform"
+	"github.com/medlarswitch/medlarswitch/internal/standin"
+)
+
+// inForceWithin bounds the time from acceptance until a generation is in force
+// on every entry and relay.
+const inForceWithin = 6 * time.Second
+
+func section(c *harness.Cluster, name string) standin.Section {
+	for _, s := range c.Fleet.Sections {
+		if s.Name == name {
+			return s
+		}
+	}
+	panic("no section " + name)
+}
+
+// changed returns a section with a comment that makes it another text.
+func changed(c *harness.Cluster, name, comment string) standin.Section {
+	s := section(c, name)
+	s.Text += "# " + comment + "\n"
+	return s
+}
+
+func inForce(ctx context.Context, t *testing.T, c *harness.Cluster, generation uint64) {
+	t.Helper()
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, inForceWithin)
+	defer cancel()
+	assert.NilError(t, c.WaitGeneration(ctx, generation))
+	t.Logf("generation %d in force everywhere after %s", generation, time.Since(began).Round(time.Millisecond))
+}
+
+func noneFell(t *testing.T, g *harness.Generations) {
+	t.Helper()
+	fell, looks := g.Stop()
+	assert.Equal(t, len(fell), 0, "generations fell: %v", fell)
+	assert.Assert(t, looks > 0)
+}
+
+// race puts sections with medlarctl at the same time and returns how many were
+// accepted and the outputs. A slow store makes all read before one writes.
+func race(ctx context.Context, t *testing.T, c *harness.Cluster, sections ...standin.Section) (accepted int, outputs string) {
+	t.Helper()
+	assert.NilError(t, c.Store("delay", "n", "200"))
+	defer func() { assert.NilError(t, c.Store("delay", "n", "0")) }()
+	var g errgroup.Group
+	texts, errs := make([]string, len(sections)), make([]error, len(sections))
+	for i, s := range sections {
+		g.Go(func() error {
+			texts[i], errs[i] = c.PutText(ctx, s, i)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for _, err := range errs {
+		if err == nil {
+			accepted++
+		}
+	}
+	return accepted, strings.Join(texts, "\n")
+}
+
+// Guards against an edit that silently replaces another, that is refused
+// beside an unrelated one, or that makes the document invalid.
+func TestConcurrentEdits(t *testing.T) {
+	ctx, c := startCluster(t, harness.Options{VMsPerZone: 1})
+	g := c.WatchGenerations(ctx)
+	generation := uint64(len(c.Fleet.Sections))
+
+	n, out := race(ctx, t, c, changed(c, "classes", "first"), changed(c, "classes", "second"))
+	assert.Equal(t, n, 1, out)
+	assert.Assert(t, strings.Contains(out, "was changed by team"), out)
+	generation++
+	inForce(ctx, t, c, generation)
+
+	n, out = race(ctx, t, c, changed(c, "zones", "first"), changed(c, "index.billing", "second"))
+	assert.Equal(t, n, 2, out)
+	generation += 2
+	inForce(ctx, t, c, generation)
+
+	// Team courses may edit its index alone, but not beside the edit that
+	// gives the index to another team.
+	courses := editor.New(platform.NewClient(c.Fleet.PlatformURL(), "courses"), "courses")
+	base, err := courses.Read(ctx)
+	assert.NilError(t, err)
+	owners := section(c, "owners")
+	owners.Text = strings.Replace(owners.Text, "section = \"index.roster\"\nteam = \"courses\"", "section = \"index.roster\"\nteam = \"office\"", 1)
+	_, err = c.PutSection(ctx, owners)
+	assert.NilError(t, err)
+	generation++
+	_, err = courses.Apply(ctx, base, courses.NewEdit(base, "index.roster", []byte(changed(c, "index.roster", "third").Text)))
+	assert.ErrorContains(t, err, "may not edit")
+	inForce(ctx, t, c, generation)
+	doc, err := courses.Read(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, doc.Manifest.Generation, generation)
+	noneFell(t, g)
+}
+
+// Guards against a report that an edit failed although it was accepted: the
+// replies of the section's write and of the conditional update are lost.
+func TestLostReplyOfAnEdit(t *testing.T) {
+	ctx, c := startCluster(t, harness.Options{VMsPerZone: 1})
+	generation := uint64(len(c.Fleet.Sections))
+	for _, lost := range []string{"1", "2"} {
+		assert.NilError(t, c.Store("lose", "n", lost))
+		out, err := c.PutSection(ctx, changed(c, "classes", "lost "+lost))
+		assert.NilError(t, err)
+		generation++
+		assert.Assert(t, strings.Contains(out, "accepted"), out)
+		inForce(ctx, t, c, generation)
+	}
+}
+
+// Guards against an accepted edit that is lost or reverts when the store goes
+// down right after it, also at a VM whose processes restart meanwhile.
+func TestEditBeforeStoreOutage(t *testing.T) {
+	const restarted = 1
+	ctx, c := startCluster(t, harness.Options{VMsPerZone: 2})
+	g := c.WatchGenerations(ctx)
+	_, err := c.PutSection(ctx, changed(c, "classes", "outage"))
+	assert.NilError(t, err)
+	assert.NilError(t, c.Store("down"))
+	generation := uint64(len(c.Fleet.Sections)) + 1
+	inForce(ctx, t, c, generation)
+	for _, role := range []string{harness.RoleEntry, harness.RoleRelay, harness.RoleAgent} {
+		c.Process(restarted, role).Kill()
+	}
+	for _, role := range []string{harness.RoleAgent, harness.RoleRelay, harness.RoleEntry} {
+		assert.NilError(t, c.StartProcess(restarted, role))
+	}
+	inForce(ctx, t, c, generation)
+	noneFell(t, g)
+}
+
+// Guards against work under an old generation by a VM that was frozen while a
+// zone went out: its entry and relay would go on using the zone.
+func TestFrozenVMContinuesWithOldGeneration(t *testing.T) {
+	const zone = "osorno"
+	ctx, c := startCluster(t, harness.Options{VMsPerZone: 1})
+	frozen := c.VMsOf(zone)[0]
+	load := c.StartLoad(ctx, "course-finder", 1, frozen)
+	leaf, _ := c.LeafOf("enrolment", zone)
+	assert.NilError(t, harness.Wait(ctx, "a warm leaf", func() error { return c.LeafWarm(leaf) }))
+	load.Stop()
+	assert.NilError(t, c.SignalVM(frozen, syscall.SIGSTOP))
+	g := c.WatchGenerations(ctx)
+	_, err := c.Ctl(ctx, "operations", "zone", "out", zone)
+	assert.NilError(t, err)
+	accepted := time.Now()
+	assert.NilError(t, harness.Wait(ctx, "the end of the pause", func() error { return after(accepted, inForceWithin) }))
+	load = c.StartLoad(ctx, "course-finder", 4, frozen)
+	defer load.Stop()
+	continued := time.Now()
+	assert.NilError(t, c.SignalVM(frozen, syscall.SIGCONT))
+	inForce(ctx, t, c, uint64(len(c.Fleet.Sections))+1)
+	assert.NilError(t, harness.Wait(ctx, "answers", func() error { return atLeast(load, 20) }))
+	last, err := c.LastWork(zone)
+	assert.NilError(t, err)
+	assert.Assert(t, last.Before(continued), "zone %s got work %s after the VM continued", zone, last.Sub(continued))
+	noneFell(t, g)
+	t.Logf("load: %+v", load.Stop())
+}
