--- a/internal/entry/submit_run.go
+++ b/internal/entry/submit_run.go
@@ -76,7 +76,7 @@
 	if refused != nil {
 		return notRun(refused.Reason)
 	}
-	release, refused := s.policy.admit(ctx, r.class, s.policy.expected(r.class.ID))
+	release, refused := s.policy.admit(ctx, r.class, s.policy.expected(r.class))
 	if refused != nil {
 		return notRun(refused.Reason)
 	}
--- a/test/process/main_test.go
+++ b/test/process/main_test.go
@@ -7,8 +7,12 @@
 	"os"
 	"os/exec"
 	"testing"
+	"time"
 )
 
+// testTimeout bounds each test.
+const testTimeout = 40 * time.Second
+
 // bin is the directory of the programs under test.
 var bin string
 
--- a/test/process/submit_test.go
+++ b/test/process/submit_test.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	testTimeout = 40 * time.Second
 	done        = medlarv1.SubmitOutcome_SUBMIT_OUTCOME_DONE
 	notRun      = medlarv1.SubmitOutcome_SUBMIT_OUTCOME_NOT_RUN
 	unknown     = medlarv1.SubmitOutcome_SUBMIT_OUTCOME_UNKNOWN
