Dial a ticket's issuer at once when a forward has no connection

Cause: after the restart of an entry the others dial it again only at the end of a pause of up to 4 s. Until then a submit with one of its new tickets was answered 'outcome unknown' (issuer-gone) by every other entry. A forward now ends the pause and waits for a connection for at most 500 ms.

--- a/internal/entry/submit_forward.go
+++ b/internal/entry/submit_forward.go
@@ -19,7 +19,7 @@
 // an answer the outcome is unknown, because an earlier attempt may have run.
 func (s *Server) forwardSubmit(ctx context.Context, addr string, r *submission) (submitAnswer, *errs.Error) {
 	s.proc.Events.Add(timeline.KindSubmitForward, r.id, addr, r.ticket.String())
-	peer := s.entries.Get(addr)
+	peer := s.entries.Await(ctx, addr)
 	if peer == nil {
 		err := errs.New(errs.StepForward, addr, errs.ReasonIssuerGone, true, "no connection to the ticket's issuer")
 		return submitAnswer{outcome: route.Failed(err, addr), requestID: r.id}, nil
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -36,6 +36,10 @@
 type link struct {
 	cancel context.CancelFunc
 	peer   *Peer
+	// opened is closed while there is a connection.
+	opened chan struct{}
+	// wake ends the pause before the next dial.
+	wake chan struct{}
 }
 
 // NewLinks returns a set without addresses.
@@ -100,7 +104,7 @@
 
 func (l *Links) start(ctx context.Context, addr string) {
 	ctx, cancel := context.WithCancel(ctx)
-	entry := &link{cancel: cancel}
+	entry := &link{cancel: cancel, opened: make(chan struct{}), wake: make(chan struct{}, 1)}
 	l.links[addr] = entry
 	go l.keep(ctx, addr, entry)
 }
@@ -112,8 +116,7 @@
 		peer, err := l.dial(ctx, addr)
 		if err != nil {
 			klog.V(2).InfoS("Dial failed", "peer", addr, "err", err)
-			sleep(ctx, pause+time.Duration(rand.Int64N(int64(pause))))
-			pause = min(2*pause, redialMax)
+			pause = entry.rest(ctx, pause)
 			continue
 		}
 		pause = redialMin
@@ -150,13 +153,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry.peer = peer
+	if peer != nil {
+		close(entry.opened)
+	} else {
+		entry.opened = make(chan struct{})
+	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
+// rest waits before the next dial and returns the pause after that.
+func (e *link) rest(ctx context.Context, pause time.Duration) time.Duration {
+	t := time.NewTimer(pause + time.Duration(rand.Int64N(int64(pause))))
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return min(2*pause, redialMax)
+	case <-e.wake:
+		return redialMin
 	case <-ctx.Done():
+		return pause
 	}
 }
