--- a/internal/harness/fault_ready.go
+++ b/internal/harness/fault_ready.go
@@ -101,6 +101,9 @@
 	return "http://" + c.adminAddress(vm, role) + "/readyz"
 }
 
+// logTail is how much of a log Report shows.
+const logTail = 1500
+
 // Report describes the processes and the leaves that get no full load, for the
 // log of a failed test.
 func (c *Cluster) Report(ctx context.Context) string {
@@ -109,7 +112,8 @@
 		for _, role := range roles {
 			s, err := c.Status(ctx, vm, role)
 			if err != nil {
-				fmt.Fprintf(&out, "%s: %v\n", processName(vm, role), err)
+				log := c.Log(vm, role)
+				fmt.Fprintf(&out, "%s: %v; end of its log:\n%s\n", processName(vm, role), err, log[max(0, len(log)-logTail):])
 				continue
 			}
 			fmt.Fprintf(&out, "%s: ready %t, generation %d, %d VMs\n", processName(vm, role), s.GetReady(), s.GetGeneration(), len(s.GetVms()))
--- /dev/null
+++ b/test/process/connection_test.go
@@ -0,0 +1,160 @@
+package process_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/harness"
+)
+
+// finderDeadline is the deadline of course-finder with the time that callers
+// allow for the way and for a busy machine.
+const finderDeadline = 1500 * time.Millisecond
+
+// asked is what one caller got.
+type asked struct {
+	took time.Duration
+	err  error
+}
+
+// ask sends one query and checks that the answer is complete and that its hits
+// are one shard's each, without a double.
+func (r *rig) ask(vm int, text string) asked {
+	began := time.Now()
+	resp, err := r.Query(r.ctx, vm, "course-finder", text)
+	out := asked{took: time.Since(began), err: err}
+	if err != nil {
+		return out
+	}
+	seen := make(map[string]bool)
+	for _, h := range resp.GetHits() {
+		if seen[h.GetKey()] || !strings.HasPrefix(h.GetKey(), h.GetShard()+"/") {
+			out.err = fmt.Errorf("hit %q of shard %q is doubled or of another shard", h.GetKey(), h.GetShard())
+		}
+		seen[h.GetKey()] = true
+	}
+	if out.err == nil {
+		out.err = harness.Complete(resp)
+	}
+	return out
+}
+
+// recovers waits until n answers in a row of each entry are complete, and
+// checks that every caller got an answer within the deadline.
+func (r *rig) recovers(within time.Duration, n int) {
+	began := time.Now()
+	failed, sent := 0, 0
+	for good := 0; good < n*len(r.Fleet.VMs); sent++ {
+		got := r.ask(sent%len(r.Fleet.VMs), fmt.Sprintf("spoon %d", sent))
+		assert.Assert(r.t, got.took < finderDeadline, "caller waited %s: %v", got.took, got.err)
+		good++
+		if got.err != nil {
+			failed, good = failed+1, 0
+		}
+		assert.Assert(r.t, time.Since(began) < within, "%d of %d answers incomplete, last: %v", failed, sent+1, got.err)
+	}
+	r.t.Logf("%d of %d answers incomplete; complete after %s", failed, sent, time.Since(began).Round(time.Millisecond))
+}
+
+// Guards against queries that wait for a connection which went silent between
+// entry and relay, and against new ones that are sent on it for good.
+func TestFrameConnectionSilent(t *testing.T) {
+	r := newRig(t, "valdivia", 1, "course-finder")
+	defer r.reportFailure()
+	f, err := r.RelayThrough(1)
+	assert.NilError(t, err)
+	defer f.Close()
+	r.connected(f, len(r.Fleet.VMs))
+	for name, directions := range map[string][]harness.Direction{
+		"both ways":      {harness.ToServer, harness.FromServer},
+		"entry to relay": {harness.ToServer},
+		"relay to entry": {harness.FromServer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := f.Silence(directions...)
+			r.on(t).recovers(6*time.Second, 3)
+			assert.Assert(t, f.Opened() > before, "no connection was replaced")
+		})
+	}
+}
+
+// connected waits until the processes use the forwarder.
+func (r *rig) connected(f *harness.Forwarder, n int) {
+	assert.NilError(r.t, harness.Wait(r.ctx, "connections through the forwarder", func() error {
+		if f.Opened() < n {
+			return fmt.Errorf("%d of %d connections", f.Opened(), n)
+		}
+		return nil
+	}))
+	assert.NilError(r.t, r.WaitComplete(r.ctx, "course-finder"))
+}
+
+// Guards against a silent leaf that keeps its relay's connections or its slots
+// for good: while it is silent the other replica answers, and after it every
+// answer is complete.
+func TestUpstreamSilent(t *testing.T) {
+	r := newRig(t, "valdivia", 1, "course-finder")
+	defer r.reportFailure()
+	const leaf = "enrolment-05-1"
+	assert.NilError(t, r.Leaf(leaf, "silent"))
+	r.recovers(8*time.Second, 3)
+	assert.NilError(t, r.Leaf(leaf, "loud"))
+	r.recovers(8*time.Second, 3)
+}
+
+// Guards against a query that goes on at the leaves when its caller has left,
+// and against slots that it keeps.
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t, "valdivia", 1, "course-finder")
+	defer r.reportFailure()
+	before := r.total()
+	ctx, cancel := context.WithCancel(r.ctx)
+	for _, l := range r.Fleet.Leaves {
+		if strings.HasPrefix(l.ID, "enrolment-") {
+			assert.NilError(t, r.Leaf(l.ID, "slow", "ms", "300"))
+		}
+	}
+	var g sync.WaitGroup
+	for n := range 6 {
+		g.Go(func() { _, _ = r.Query(ctx, n%3, "course-finder", fmt.Sprintf("left %d", n)) })
+	}
+	r.until("leaves that work", func() bool { return r.total().searches > before.searches })
+	cancel()
+	g.Wait()
+	http.DefaultClient.CloseIdleConnections()
+	r.until("cancelled work", func() bool { return r.total().cancelled > before.cancelled })
+	for _, l := range r.Fleet.Leaves {
+		if strings.HasPrefix(l.ID, "enrolment-") {
+			assert.NilError(t, r.Leaf(l.ID, "slow", "ms", "0"))
+		}
+	}
+	r.recovers(8*time.Second, 3)
+}
+
+func (r *rig) until(what string, condition func() bool) {
+	assert.NilError(r.t, harness.Wait(r.ctx, what, func() error {
+		if !condition() {
+			return fmt.Errorf("not yet")
+		}
+		return nil
+	}))
+}
+
+type totals struct{ searches, cancelled uint64 }
+
+func (r *rig) total() (out totals) {
+	leaves, err := r.Leaves()
+	assert.NilError(r.t, err)
+	for _, l := range leaves {
+		out.searches += l.Searches
+		out.cancelled += l.Cancelled
+	}
+	return out
+}
