Follow other agents while the VM's own is silent

Cause: an entry with a frozen agent kept its generation and went on using a zone that was out. Entries and relays now follow two other agents after 2.5 s of silence, and ignore VM lists older than the one in force. Ruled out: entries of other VMs, which had the new generation. No run with the guards taken out was made.

--- a/internal/agentlink/link.go
+++ b/internal/agentlink/link.go
@@ -33,6 +33,8 @@
 	// generation is the one in force here.
 	generation atomic.Uint64
 	guard      *guard
+	// vms is the VM list that was handed on.
+	vms atomic.Pointer[topology.VMView]
 
 	sections map[string]heldSection
 }
@@ -73,6 +75,7 @@
 func (l *Link) Run(ctx context.Context) {
 	l.links.Set(ctx, []string{l.addr})
 	go l.guard.run(ctx)
+	go l.followSubstitutes(ctx)
 	for {
 		select {
 		case in := <-l.inbox:
@@ -123,7 +126,7 @@
 		l.offered(ctx, in)
 	case wire.KindVMView:
 		var msg message.VMView
-		if l.decode(in.env, &msg) {
+		if l.decode(in.env, &msg) && l.newerVMs(msg.View) {
 			l.receiver.SetVMs(ctx, msg.View)
 		}
 	case wire.KindFact:
@@ -136,7 +139,9 @@
 	if !l.decode(in.env, &m) || m.Generation < l.generation.Load() {
 		return
 	}
-	l.heard.Store(int64(l.proc.Now()))
+	if in.peer.Remote.VM == l.proc.Self.VM {
+		l.heard.Store(int64(l.proc.Now()))
+	}
 	if m.Generation == l.generation.Load() {
 		return
 	}
--- /dev/null
+++ b/test/process/partition_test.go
@@ -0,0 +1,33 @@
+package process_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/harness"
+)
+
+// Guards against overload of cold leaves, a reverted generation, and failed
+// queries when the relays of a zone that is cut off from the platform restart
+// one after the other.
+func TestRollingRestartOfCutOffZone(t *testing.T) {
+	ctx, c := startCluster(t, harness.Options{VMsPerZone: 2, CutZone: outZone})
+	g := c.WatchGenerations(ctx)
+	load := c.StartLoad(ctx, "course-finder", 1, c.AllVMs()...)
+	defer load.Stop()
+	waitWarm(ctx, t, c)
+	load.Take()
+	c.Cut(true)
+	for _, vm := range c.VMsOf(outZone) {
+		assert.NilError(t, c.Process(vm, harness.RoleRelay).Stop())
+		assert.NilError(t, c.StartProcess(vm, harness.RoleRelay))
+		assert.NilError(t, c.WaitGeneration(ctx, uint64(len(c.Fleet.Sections))))
+	}
+	got := load.Take()
+	assert.Assert(t, got.Queries > 0 && got.Failed == 0, "%+v", got)
+	t.Logf("load during the restarts: %+v", got)
+	assert.NilError(t, harness.Wait(ctx, "answers", func() error { return atLeast(load, 20) }))
+	notOverloaded(t, c)
+	noneFell(t, g)
+}
