Announce a relay's planned stop, and end retired workers without cutting off work

Cause: entries went on sending to a relay until its connections closed, and a request written just then ended as unknown. A worker whose leaf went to another relay was cancelled with its running requests. A submit waited at one busy leaf until its start-by although another replica was free. Change: a stopping relay tells entries and relays; the rank-2 relay serves at once; after the drain delay it refuses with draining, waits for what runs, and closes last. A retired worker ends after its last request. A submit gives each leaf an equal part of the remaining time. A relay that serves an inherited warm leaf passes it on to its successor.

--- a/internal/entry/leaf_call.go
+++ b/internal/entry/leaf_call.go
@@ -50,12 +50,19 @@
 	case errs.StepRelayDial, errs.StepRelaySend:
 		return err.Reason == errs.ReasonConnectionLost
 	case errs.StepRelayQueue:
-		return err.Reason == errs.ReasonNotOwner || err.Reason == errs.ReasonNoConfig || err.Reason == errs.ReasonPaused
+		return relayReasons[err.Reason]
 	default:
 		return false
 	}
 }
 
+// relayReasons are refusals that another relay of the leaf may not share. It
+// may hold the cold lease, or know that the leaf is warm.
+var relayReasons = map[errs.Reason]bool{
+	errs.ReasonNotOwner: true, errs.ReasonNoConfig: true, errs.ReasonPaused: true,
+	errs.ReasonDraining: true, errs.ReasonCold: true,
+}
+
 func callRelay(ctx context.Context, peer *wire.Peer, req *message.LeafRequest, shard topology.ShardID, snap topology.Snapshot) (*message.LeafReply, *errs.Error) {
 	env, err := peer.Call(ctx, wire.KindLeafRequest, string(shard), snap, req)
 	if err != nil {
--- a/internal/entry/leaf_table.go
+++ b/internal/entry/leaf_table.go
@@ -20,8 +20,9 @@
 
 // heardRelay is a relay with the last update of it.
 type heardRelay struct {
-	version uint64
-	at      time.Duration
+	version  uint64
+	at       time.Duration
+	draining bool
 	// silent is true once silenced has named the relay's leaves.
 	silent bool
 }
@@ -45,6 +46,10 @@
 		changed = t.leavesOf(r.from)
 	}
 	u := &r.update
+	if heard.draining != u.Draining {
+		heard.draining = u.Draining
+		changed = append(changed, t.leavesOf(r.from)...)
+	}
 	if !u.Full {
 		missed = !known || u.Version != heard.next(u)
 	}
@@ -122,16 +127,36 @@
 	return out
 }
 
-// get returns the latest word of the first of some relays that is alive.
+// get returns the latest word of the first of some relays that is alive, not
+// about to stop, and can use the leaf, else that of the first that is alive.
 func (t *leafTable) get(now time.Duration, leaf topology.LeafID, owners []topology.VM) (message.LeafFacts, bool) {
 	byVM := t.leaves[leaf]
+	var fallback message.LeafFacts
+	found := false
 	for _, vm := range owners {
 		facts, ok := byVM[vm.ID]
-		if ok && now-t.relays[vm.ID].at <= factsLifetime {
+		if !ok || now-t.relays[vm.ID].at > factsLifetime {
+			continue
+		}
+		if facts.Usable && !t.relays[vm.ID].draining {
 			return facts, true
 		}
+		if !found || facts.Usable {
+			fallback, found = facts, true
+		}
 	}
-	return message.LeafFacts{}, false
+	return fallback, found
+}
+
+// drainingRelays returns the relays that are about to stop.
+func (t *leafTable) drainingRelays() map[topology.VMID]bool {
+	out := make(map[topology.VMID]bool)
+	for vm, heard := range t.relays {
+		if heard.draining {
+			out[vm] = true
+		}
+	}
+	return out
 }
 
 // keepOnly forgets leaves that a topology does not name.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -118,6 +118,9 @@
 
 // SetVMs brings a VM list into force and connects to the VMs in it.
 func (s *Server) SetVMs(ctx context.Context, v topology.VMView) {
+	if v.Version < s.view.Load().vms.Version {
+		return
+	}
 	var relays, entries []string
 	for _, vm := range v.VMs {
 		relays = append(relays, vm.RelayAddress)
--- a/internal/entry/submit_run.go
+++ b/internal/entry/submit_run.go
@@ -101,7 +101,8 @@
 // have run it.
 func (s *Server) sendSubmit(ctx context.Context, r *submission, fingerprint uint64) submit.Outcome {
 	last := submit.Outcome{Kind: submit.NotRun, Reason: errs.ReasonNoLeaf}
-	for _, leaf := range s.submitLeaves(r) {
+	leaves := s.submitLeaves(r)
+	for i, leaf := range leaves {
 		now := s.proc.Now()
 		if now >= r.deadline {
 			return submit.Outcome{Kind: submit.NotRun, Reason: errs.ReasonDeadline}
@@ -109,7 +110,9 @@
 		req := message.LeafRequest{
 			Leaf: leaf, Op: message.OpExecute, RequestID: r.id, Class: r.class.ID,
 			Priority: r.class.Priority, Payload: r.payload,
-			StartBy: r.deadline - now, Deadline: r.deadline - now + s.runLimit(leaf),
+			// A busy leaf must leave time for the others.
+			StartBy:  (r.deadline - now) / time.Duration(len(leaves)-i),
+			Deadline: r.deadline - now + s.runLimit(leaf),
 		}
 		reply, err := s.callLeaf(ctx, &req, r.shard, topology.Snapshot{})
 		if err == nil {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -13,6 +13,8 @@
 	indexes  map[topology.IndexID]*indexView
 	// zoneVMs holds the VMs of each zone, to rank relays.
 	zoneVMs map[topology.Zone][]topology.VM
+	// draining holds the relays that are about to stop.
+	draining map[topology.VMID]bool
 }
 
 // indexView is one index of a view.
@@ -24,12 +26,17 @@
 	plans [tierCount][]query.Plan
 }
 
-// relays returns the frame addresses of a leaf's relays, rank 1 first.
+// relays returns the frame addresses of a leaf's relays, rank 1 first and those
+// that are about to stop last.
 func (v *view) relays(leaf *topology.Leaf) []string {
 	owners := ownership.Owners(leaf.ID, v.zoneVMs[leaf.Zone])
-	out := make([]string, len(owners))
-	for i, vm := range owners {
-		out[i] = vm.RelayAddress
+	out := make([]string, 0, len(owners))
+	for _, last := range []bool{false, true} {
+		for _, vm := range owners {
+			if v.draining[vm.ID] == last {
+				out = append(out, vm.RelayAddress)
+			}
+		}
 	}
 	return out
 }
--- a/internal/entry/view_builder.go
+++ b/internal/entry/view_builder.go
@@ -130,6 +130,9 @@
 		return
 	}
 	b.markLeaves(changed)
+	if r.update.Draining {
+		b.rebuild()
+	}
 }
 
 // refresh marks the indexes of relays that have fallen silent, and one part of
@@ -172,6 +175,7 @@
 		return
 	}
 	next := *b.current
+	next.draining = b.table.drainingRelays()
 	next.indexes = make(map[topology.IndexID]*indexView, len(next.topology.Indexes))
 	for id, index := range next.topology.Indexes {
 		if old, ok := b.current.indexes[id]; ok && !b.dirty[id] {
--- a/internal/message/leaf_facts_update.go
+++ b/internal/message/leaf_facts_update.go
@@ -11,6 +11,9 @@
 	Full  bool              `msgpack:"a,omitempty"`
 	Facts []LeafFacts       `msgpack:"f,omitempty"`
 	Gone  []topology.LeafID `msgpack:"g,omitempty"`
+	// Draining is true from the start of a planned stop. The rank-2 relays
+	// take over at once.
+	Draining bool `msgpack:"d,omitempty"`
 }
 
 // Empty reports whether the update is a sign of life only.
--- a/internal/relay/facts_hub.go
+++ b/internal/relay/facts_hub.go
@@ -16,8 +16,10 @@
 type factsHub struct {
 	mu      sync.Mutex
 	version uint64
-	facts   map[topology.LeafID]message.LeafFacts
-	peers   map[*wire.Peer]struct{}
+	// draining is told with each update.
+	draining bool
+	facts    map[topology.LeafID]message.LeafFacts
+	peers    map[*wire.Peer]struct{}
 }
 
 func newFactsHub() *factsHub {
@@ -48,7 +50,7 @@
 func (h *factsHub) resync(p *wire.Peer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	notifyFacts(p, message.LeafFactsUpdate{Version: h.version, Full: true, Facts: h.list()})
+	notifyFacts(p, message.LeafFactsUpdate{Version: h.version, Full: true, Facts: h.list(), Draining: h.draining})
 }
 
 // publish stores a leaf's facts and tells them.
@@ -81,6 +83,14 @@
 	h.broadcast(message.LeafFactsUpdate{Version: h.version})
 }
 
+// drain tells that the relay is about to stop.
+func (h *factsHub) drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
+	h.broadcast(message.LeafFactsUpdate{Version: h.version})
+}
+
 func (h *factsHub) list() []message.LeafFacts {
 	out := make([]message.LeafFacts, 0, len(h.facts))
 	for _, f := range h.facts {
@@ -90,6 +100,7 @@
 }
 
 func (h *factsHub) broadcast(u message.LeafFactsUpdate) {
+	u.Draining = h.draining
 	for p := range h.peers {
 		notifyFacts(p, u)
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -38,21 +38,19 @@
 	mu       sync.Mutex
 	topology *topology.Topology
 	views    [2]topology.VMView // current and previous VM list
-	workers  map[topology.LeafID]*runningWorker
+	workers  map[topology.LeafID]*leafWorker
 	stopping bool
-}
-
-// runningWorker is a worker with what ends it.
-type runningWorker struct {
-	*leafWorker
-	stop context.CancelFunc
+	refusing bool
+	// draining holds the other relays of the zone that are about to stop.
+	draining map[topology.VMID]bool
 }
 
 // NewServer returns a relay without configuration.
 func NewServer(proc *telemetry.Process) *Server {
 	s := &Server{
 		proc: proc, drain: lifecycle.NewDrain(), hub: newFactsHub(), calls: newCallTable(),
-		workers: make(map[topology.LeafID]*runningWorker),
+		workers:  make(map[topology.LeafID]*leafWorker),
+		draining: make(map[topology.VMID]bool),
 	}
 	s.leases = newLeaseKeeper(proc, s.sendToRelay)
 	s.frames = wire.NewServer(proc.Self, proc.WireOptions(s.handle))
@@ -72,7 +70,9 @@
 	<-ctx.Done()
 	s.beginDrain()
 	time.Sleep(drainDelay)
+	s.refuseNew()
 	idle := s.drain.Wait(lifecycle.MaxDrain)
+	time.Sleep(flushDelay)
 	klog.InfoS("Relay stopped", "idle", idle)
 	s.proc.Events.Add(timeline.KindStopped, "", string(s.proc.Self.VM), "")
 	_ = ln.Close()
@@ -81,13 +81,27 @@
 	return nil
 }
 
+// flushDelay lets the last replies leave before the connections close.
+const flushDelay = 100 * time.Millisecond
+
+// beginDrain tells entries and relays to leave this relay alone. What is still
+// on its way is served.
 func (s *Server) beginDrain() {
 	s.drain.Begin()
+	s.hub.drain()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopping = true
 }
 
+// refuseNew refuses requests from now on, so that none is cut off when the
+// connections close.
+func (s *Server) refuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
+}
+
 // handle takes messages of entries and of other relays.
 func (s *Server) handle(p *wire.Peer, env *wire.Envelope) {
 	switch env.Kind {
@@ -116,14 +130,17 @@
 		s.reply(p, env, refused(&msg, env, s.proc.Name(), errs.ReasonPaused))
 		return
 	}
+	// Work is counted before refusing is looked at: a stop that has begun to
+	// refuse then waits for it.
+	leave := s.drain.Enter()
 	worker, reason := s.find(msg.Leaf)
 	if worker == nil {
 		s.reply(p, env, refused(&msg, env, s.proc.Name(), reason))
+		leave()
 		return
 	}
 	now := s.proc.Now()
 	key := callKey{peer: p, id: env.ID}
-	leave := s.drain.Enter()
 	req := &leafRequest{
 		id: s.nextID.Add(1), message: msg,
 		shard: topology.ShardID(env.Shard), snapshot: env.Snapshot,
@@ -152,12 +169,14 @@
 	defer s.mu.Unlock()
 	w, ok := s.workers[leaf]
 	switch {
+	case s.refusing:
+		return nil, errs.ReasonDraining
 	case s.topology == nil:
 		return nil, errs.ReasonNoConfig
 	case !ok:
 		return nil, errs.ReasonNotOwner
 	default:
-		return w.leafWorker, ""
+		return w, ""
 	}
 }
 
--- a/internal/relay/server_config.go
+++ b/internal/relay/server_config.go
@@ -71,7 +71,7 @@
 	for id, w := range s.workers {
 		leaf, ok := s.topology.Leaves[id]
 		if !ok || !sameServer(leaf, w.leaf) || !s.ranks(leaf) {
-			w.stop()
+			w.mustPost(ctx, retired{})
 			delete(s.workers, id)
 			s.hub.drop(id)
 		}
@@ -113,7 +113,7 @@
 		if vm.ID == s.proc.Self.VM {
 			return true
 		}
-		if s.links.Get(vm.RelayAddress) != nil {
+		if s.links.Get(vm.RelayAddress) != nil && !s.draining[vm.ID] {
 			return false
 		}
 	}
@@ -122,8 +122,7 @@
 
 func (s *Server) startWorker(ctx context.Context, leaf *topology.Leaf) {
 	index := s.topology.Indexes[leaf.Index]
-	ctx, cancel := context.WithCancel(ctx)
 	w := newLeafWorker(s.proc, leaf, index, ownership.ConnectionShare(index.Connections), s.leases, s.hub.publish)
-	s.workers[leaf.ID] = &runningWorker{leafWorker: w, stop: cancel}
+	s.workers[leaf.ID] = w
 	go w.run(ctx)
 }
--- a/internal/relay/server_facts.go
+++ b/internal/relay/server_facts.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
 	"github.com/medlarswitch/medlarswitch/internal/wire"
 )
 
@@ -39,6 +40,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteDraining(p.Remote.VM, update.Draining)
 	for _, f := range update.Facts {
 		if w, ok := s.workers[f.Leaf]; ok {
 			w.post(peerFacts{from: p.Remote.VM, facts: f})
@@ -46,6 +48,17 @@
 	}
 }
 
+// noteDraining takes over the leaves of a relay that is about to stop.
+func (s *Server) noteDraining(vm topology.VMID, draining bool) {
+	if s.draining[vm] == draining {
+		return
+	}
+	s.draining[vm] = draining
+	for _, w := range s.workers {
+		w.post(ranked{serving: s.serving(w.leaf)})
+	}
+}
+
 // mustPost waits for room, since the event must not be lost.
 func (w *leafWorker) mustPost(ctx context.Context, ev workerEvent) {
 	select {
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -61,6 +61,7 @@
 	peerSaid map[topology.VMID]peerFacts
 	wanted   bool
 	serving  bool
+	retiring bool
 	// open is false while the zone is out.
 	open bool
 	// closedFor is why the queue is closed, or "".
@@ -107,6 +108,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if w.retiring && len(w.requests) == 0 {
+			return
+		}
 		w.probeIfDue(ctx)
 		w.tell()
 		w.storeStatus()
@@ -139,6 +143,9 @@
 	case ranked:
 		w.serving = ev.serving
 		w.step(ctx, leafqueue.Tick{})
+	case retired:
+		w.retiring = true
+		w.step(ctx, leafqueue.Tick{})
 	case leaseChanged:
 		w.step(ctx, leafqueue.Tick{})
 	case peerFacts:
@@ -174,6 +181,8 @@
 // unusable returns why the leaf can get no work now, or "".
 func (w *leafWorker) unusable() errs.Reason {
 	switch state := w.tracker.State(); {
+	case w.retiring:
+		return errs.ReasonNotOwner
 	case !w.open:
 		return errs.ReasonZoneOut
 	case state == warmup.Down:
@@ -195,7 +204,7 @@
 
 // wantLease asks for the lease while the leaf needs one and takes work.
 func (w *leafWorker) wantLease() {
-	want := w.serving && w.open && w.tracker.NeedsLease()
+	want := w.serving && w.open && !w.retiring && w.tracker.NeedsLease()
 	if want == w.wanted {
 		return
 	}
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -46,6 +46,10 @@
 // or rank 2 while rank 1 does not answer.
 type ranked struct{ serving bool }
 
+// retired says that this relay no longer serves the leaf: the worker ends after
+// its last running request.
+type retired struct{}
+
 // leaseChanged says that the right to send to the cold leaf may have changed.
 type leaseChanged struct{}
 
@@ -64,6 +68,7 @@
 func (probeEnded) workerEvent()       {}
 func (accepting) workerEvent()        {}
 func (ranked) workerEvent()           {}
+func (retired) workerEvent()          {}
 func (leaseChanged) workerEvent()     {}
 func (peerFacts) workerEvent()        {}
 
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -65,7 +65,7 @@
 	reason := w.unusable()
 	f.Usable = reason == "" && len(f.IndexVersions) > 0
 	f.Reason = string(reason)
-	f.Baseline = roundBaseline(w.tracker)
+	f.Baseline = w.roundBaseline()
 	f.FellBoot = w.tracker.FellBoot()
 	if !reflect.DeepEqual(f, w.told) {
 		w.told = f
@@ -75,8 +75,11 @@
 
 // roundBaseline rounds the warm latency, so that facts do not change with
 // every reply.
-func roundBaseline(t *warmup.Tracker) time.Duration {
-	latency, _ := t.Baseline()
+func (w *leafWorker) roundBaseline() time.Duration {
+	latency, _ := w.tracker.Baseline()
+	if w.serving {
+		latency, _ = w.tracker.Warmth()
+	}
 	if latency == 0 {
 		return 0
 	}
--- a/internal/warmup/inherited.go
+++ b/internal/warmup/inherited.go
@@ -54,5 +54,14 @@
 	return t.times.baseline.value, t.boots.current
 }
 
+// Warmth is Baseline including an inherited state. A relay that serves the leaf
+// may pass it on: its next replies confirm it or show the fall.
+func (t *Tracker) Warmth() (latency time.Duration, boot uint64) {
+	if t.state != Warm {
+		return 0, 0
+	}
+	return t.times.baseline.value, t.boots.current
+}
+
 // FellBoot returns the boot ID that last fell to cold by its behaviour, or 0.
 func (t *Tracker) FellBoot() uint64 { return t.fellBoot }
