--- a/test/process/balancer_test.go
+++ b/test/process/balancer_test.go
@@ -36,12 +36,14 @@
 	queries  int
 	submits  int
 	degraded int
+	// missing counts the shards that answers lack by reason.
+	missing  map[string]int
 	failures []string
 }
 
 func (r *rig) startLoad() *load {
 	ctx, cancel := context.WithCancel(r.ctx)
-	l := &load{r: r, stopped: cancel, usable: make([]atomic.Bool, len(r.Fleet.VMs)), health: &http.Client{Timeout: time.Second}}
+	l := &load{r: r, stopped: cancel, missing: make(map[string]int), usable: make([]atomic.Bool, len(r.Fleet.VMs)), health: &http.Client{Timeout: time.Second}}
 	for vm := range l.usable {
 		l.usable[vm].Store(true)
 		l.group.Go(func() { l.check(ctx, vm) })
@@ -123,6 +125,9 @@
 		l.fail(began, "query through vm %d: %v", vm, err)
 	} else if harness.Complete(resp) != nil {
 		l.degraded++
+		for _, m := range resp.GetCoverage().GetMissing() {
+			l.missing[m.GetReason()]++
+		}
 	}
 }
 
@@ -151,7 +156,7 @@
 func (l *load) finish() {
 	l.stopped()
 	l.group.Wait()
-	l.r.t.Logf("%d queries, %d of them incomplete; %d submits; %d failures", l.queries, l.degraded, l.submits, len(l.failures))
+	l.r.t.Logf("%d queries, %d of them incomplete, missing shards by reason %v; %d submits; %d failures", l.queries, l.degraded, l.missing, l.submits, len(l.failures))
 	for _, f := range l.failures[:min(len(l.failures), 10)] {
 		l.r.t.Log(f)
 	}
