Confirm after a pause only when the store's generation is in force

The agent confirmed right after it had read the manifest, while it still fetched and checked the new generation. Ruled out: the detection of the pause; the entry's refusals show it. TestCallerLeaves also failed: no leaf was warm, and work in other leaves is no longer cancelled. It now waits for a warm leaf first; the check is unchanged.

--- a/internal/agent/confirm.go
+++ b/internal/agent/confirm.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/pause"
 	"github.com/medlarswitch/medlarswitch/internal/wire"
@@ -52,10 +53,26 @@
 	}
 }
 
+// refresh confirms once the generation that the store holds is in force here.
+// Confirming right after the read let the VM's processes go on with the old
+// generation while the agent still fetched and checked the new one.
 func (g *pauseGuard) refresh(ctx context.Context, asked time.Duration) {
-	if _, ok := g.server.store.get(ctx); !ok {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	object, ok := g.server.store.get(ctx)
+	if !ok {
 		return
 	}
+	m, err := confsync.DecodeManifest(object.Value)
+	if err != nil {
+		return
+	}
+	for g.server.generation() < m.Generation {
+		if ctx.Err() != nil {
+			return
+		}
+		time.Sleep(confirmPoll)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.detector.Confirm(asked)
@@ -75,10 +92,13 @@
 	for !s.pauses.current() && time.Now().Before(deadline) {
 		time.Sleep(confirmPoll)
 	}
-	s.mu.Lock()
-	generation := s.manifest.Generation
-	s.mu.Unlock()
-	if err := p.Reply(env, wire.KindConfirm, message.Confirmed{Generation: generation}); err != nil {
+	if err := p.Reply(env, wire.KindConfirm, message.Confirmed{Generation: s.generation()}); err != nil {
 		klog.ErrorS(err, "Cannot encode confirmation")
 	}
 }
+
+func (s *Server) generation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.manifest.Generation
+}
--- a/test/process/connection_test.go
+++ b/test/process/connection_test.go
@@ -114,6 +114,9 @@
 func TestCallerLeaves(t *testing.T) {
 	r := newRig(t, "valdivia", 1, "course-finder")
 	defer r.reportFailure()
+	// Work in a leaf that is not warm yet goes on: its reply counts for the
+	// warm-up. The check needs one that is warm.
+	r.until("a warm leaf", func() bool { return r.queried(0) && r.queried(1) && r.queried(2) && r.anyWarm() })
 	before := r.total()
 	ctx, cancel := context.WithCancel(r.ctx)
 	for _, l := range r.Fleet.Leaves {
@@ -138,6 +141,28 @@
 	r.recovers(8*time.Second, 3)
 }
 
+// queried sends one query through a VM.
+func (r *rig) queried(vm int) bool {
+	_, err := r.Query(r.ctx, vm, "course-finder", "warm")
+	return err == nil
+}
+
+// anyWarm reports whether a relay knows a leaf of the index to be warm.
+func (r *rig) anyWarm() bool {
+	for vm := range r.Fleet.VMs {
+		status, err := r.Status(r.ctx, vm, harness.RoleRelay)
+		if err != nil {
+			return false
+		}
+		for _, l := range status.GetLeaves() {
+			if strings.HasPrefix(l.GetLeaf(), "enrolment-") && l.GetState() == "warm" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (r *rig) until(what string, condition func() bool) {
 	assert.NilError(r.t, harness.Wait(r.ctx, what, func() error {
 		if !condition() {
