--- a/internal/agent/confirm.go
+++ b/internal/agent/confirm.go
@@ -48,7 +48,7 @@
 		g.mu.Unlock()
 		if paused {
 			klog.InfoS("The agent was paused; reading the manifest again")
-			go g.refresh(ctx, now)
+			go g.refresh(ctx, g.server.proc.Now())
 		}
 	}
 }
