--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -1,18 +1,22 @@
 package admission
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/medlarswitch/medlarswitch/internal/indexheap"
+)
 
 // level holds the waiting items of one priority.
 type level struct {
 	priority int
-	first    itemHeap
-	worst    itemHeap
+	first    *indexheap.Heap[*item]
+	worst    *indexheap.Heap[*item]
 	// lastAdmitted is the number of the latest admission from this level.
 	lastAdmitted uint64
 }
 
 func newLevel(priority int) *level {
-	return &level{priority: priority, first: itemHeap{number: heapFirst}, worst: itemHeap{number: heapWorst}}
+	return &level{priority: priority, first: newHeap(heapFirst), worst: newHeap(heapWorst)}
 }
 
 func (l *level) len() int { return l.first.Len() }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/indexheap"
 )
 
 // Config bounds a Queue.
@@ -22,7 +23,7 @@
 	waiting map[uint64]*item
 	// levels is sorted by priority number, lowest first.
 	levels []*level
-	expiry itemHeap
+	expiry *indexheap.Heap[*item]
 
 	arrivals   uint64
 	admissions uint64
@@ -38,7 +39,7 @@
 		config:  config,
 		running: make(map[uint64]struct{}),
 		waiting: make(map[uint64]*item),
-		expiry:  itemHeap{number: heapExpiry},
+		expiry:  newHeap(heapExpiry),
 	}
 }
 
@@ -67,7 +68,7 @@
 	if q.expiry.Len() == 0 {
 		return 0, false
 	}
-	return max(now, q.expiry.top().latestStart+1), true
+	return max(now, q.expiry.Top().latestStart+1), true
 }
 
 // Running returns how many admitted queries have not ended.
@@ -88,9 +89,9 @@
 	q.arrivals++
 	it := &item{id: ev.ID, seq: q.arrivals, level: q.level(ev.Priority), deadline: ev.Deadline, latestStart: latestStart}
 	q.waiting[it.id] = it
-	it.level.first.add(it)
-	it.level.worst.add(it)
-	q.expiry.add(it)
+	it.level.first.Add(it)
+	it.level.worst.Add(it)
+	q.expiry.Add(it)
 }
 
 func (q *Queue) cancel(id uint64) {
@@ -101,8 +102,8 @@
 }
 
 func (q *Queue) refuseExpired(now time.Duration) {
-	for q.expiry.Len() > 0 && q.expiry.top().latestStart < now {
-		it := q.expiry.top()
+	for q.expiry.Len() > 0 && q.expiry.Top().latestStart < now {
+		it := q.expiry.Top()
 		q.remove(it)
 		q.refuse(it.id, errs.ReasonDeadline)
 	}
@@ -114,9 +115,9 @@
 
 func (q *Queue) remove(it *item) {
 	delete(q.waiting, it.id)
-	it.level.first.remove(it)
-	it.level.worst.remove(it)
-	q.expiry.remove(it)
+	it.level.first.Remove(it)
+	it.level.worst.Remove(it)
+	q.expiry.Remove(it)
 }
 
 func (q *Queue) isOpen(id uint64) bool {
--- a/internal/leafqueue/queue.go
+++ b/internal/leafqueue/queue.go
@@ -1,10 +1,10 @@
 package leafqueue
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/indexheap"
 )
 
 // Queue is the queue of one leaf. It is not safe for concurrent use.
@@ -12,7 +12,7 @@
 	cfg     Config
 	seq     uint64
 	queued  map[uint64]*item
-	orders  [heaps]*itemHeap
+	orders  [heaps]*indexheap.Heap[*item]
 	running map[uint64]runState
 	limit   SetLimit
 	// closed is empty while the queue is open.
@@ -21,11 +21,7 @@
 
 // New returns an open queue with a limit of 0.
 func New(cfg Config) *Queue {
-	q := &Queue{cfg: cfg, queued: map[uint64]*item{}, running: map[uint64]runState{}}
-	for which, less := range [heaps]func(a, b *item) bool{before, after, expiresBefore} {
-		q.orders[which] = &itemHeap{which: which, less: less}
-	}
-	return q
+	return &Queue{cfg: cfg, queued: map[uint64]*item{}, running: map[uint64]runState{}, orders: newHeaps()}
 }
 
 // Step applies an event and returns what the shell has to do, in order.
@@ -56,7 +52,7 @@
 	if len(q.queued) == 0 {
 		return 0, false
 	}
-	wake := q.orders[byExpiry].items[0].startBy
+	wake := q.orders[byExpiry].Top().startBy
 	if q.limit.NotBefore > now && len(q.running) < q.limit.InFlight {
 		wake = min(wake, q.limit.NotBefore)
 	}
@@ -80,7 +76,7 @@
 	it := &item{id: ev.ID, seq: q.seq, priority: ev.Priority, startBy: ev.StartBy}
 	q.queued[ev.ID] = it
 	for _, h := range q.orders {
-		heap.Push(h, it)
+		h.Add(it)
 	}
 	return nil
 }
@@ -99,15 +95,15 @@
 func (q *Queue) refuseAll(reason errs.Reason) []Action {
 	var out []Action
 	for len(q.queued) > 0 {
-		out = append(out, q.refuse(q.orders[byBest].items[0], reason))
+		out = append(out, q.refuse(q.orders[byBest].Top(), reason))
 	}
 	return out
 }
 
 // expire refuses the items whose start-by is reached.
 func (q *Queue) expire(now time.Duration, out []Action) []Action {
-	for len(q.queued) > 0 && q.orders[byExpiry].items[0].startBy <= now {
-		out = append(out, q.refuse(q.orders[byExpiry].items[0], errs.ReasonStartBy))
+	for len(q.queued) > 0 && q.orders[byExpiry].Top().startBy <= now {
+		out = append(out, q.refuse(q.orders[byExpiry].Top(), errs.ReasonStartBy))
 	}
 	return out
 }
@@ -117,7 +113,7 @@
 		return out
 	}
 	for len(q.queued) > 0 && len(q.running) < q.limit.InFlight {
-		it := q.orders[byBest].items[0]
+		it := q.orders[byBest].Top()
 		q.remove(it)
 		q.running[it.id] = runNormal
 		out = append(out, Dispatch{ID: it.id})
@@ -129,7 +125,7 @@
 // dispatch, so that an item which can start at once is never refused.
 func (q *Queue) trim(out []Action) []Action {
 	for len(q.queued) > max(q.cfg.MaxQueued, 0) {
-		out = append(out, q.refuse(q.orders[byWorst].items[0], errs.ReasonOverloaded))
+		out = append(out, q.refuse(q.orders[byWorst].Top(), errs.ReasonOverloaded))
 	}
 	return out
 }
@@ -141,7 +137,7 @@
 
 func (q *Queue) remove(it *item) {
 	delete(q.queued, it.id)
-	for which, h := range q.orders {
-		heap.Remove(h, it.at[which])
+	for _, h := range q.orders {
+		h.Remove(it)
 	}
 }
