Tell why a leaf gets no work apart from the cause of its state

The status had put the cause of the last change of state into the field that says why a leaf gets no work; TestRollingReplacement waited for that field to be empty and ran out of time.

--- a/internal/relay/worker_status.go
+++ b/internal/relay/worker_status.go
@@ -8,15 +8,11 @@
 // worker; currentStatus may be called by anyone.
 func (w *leafWorker) storeStatus() {
 	limit := w.tracker.Limit(w.proc.Now()).InFlight
-	reason := string(w.closedFor)
-	if reason == "" {
-		reason = w.tracker.Reason()
-	}
 	if w.closedFor != "" {
 		limit = 0
 	}
 	w.status.Store(&medlarv1.LeafStatus{
-		Leaf: string(w.leaf.ID), State: string(w.tracker.State()), Reason: reason,
+		Leaf: string(w.leaf.ID), State: string(w.tracker.State()), Reason: string(w.closedFor), Cause: w.tracker.Reason(),
 		Limit: float64(limit), InFlight: uint32(w.queue.Running()), Queued: uint32(w.queue.Queued()),
 	})
 }
