Tell the lease of a request's end also after its worker has retired

Cause: found by reading. A worker that was retired while the end of a request was unknown never told the lease of it, and the relay would not have acknowledged the leaf's lease to others again. A request posted to a worker that had just ended got no answer.

--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +48,11 @@
 	publish  func(message.LeafFacts)
 	inbox    chan workerEvent
 	metrics  *relayMetrics
-	status   atomic.Pointer[medlarv1.LeafStatus]
+	// postMu guards gone, so that no event is left in an inbox that nobody
+	// reads.
+	postMu sync.RWMutex
+	gone   bool
+	status atomic.Pointer[medlarv1.LeafStatus]
 
 	queue     *leafqueue.Queue
 	tracker   *warmup.Tracker
@@ -83,8 +88,14 @@
 	}
 }
 
-// post hands an event to the worker and reports whether there was room.
+// post hands an event to the worker and reports whether there was room. A
+// worker that has ended takes none.
 func (w *leafWorker) post(ev workerEvent) bool {
+	w.postMu.RLock()
+	defer w.postMu.RUnlock()
+	if w.gone {
+		return false
+	}
 	select {
 	case w.inbox <- ev:
 		return true
@@ -108,7 +119,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if w.retiring && len(w.requests) == 0 {
+		if w.retiring && len(w.requests) == 0 && w.end() {
 			return
 		}
 		w.probeIfDue(ctx)
@@ -118,6 +129,23 @@
 	}
 }
 
+func (w *leafWorker) hasEnded() bool {
+	w.postMu.RLock()
+	defer w.postMu.RUnlock()
+	return w.gone
+}
+
+// end closes the inbox of a retired worker unless an event has come meanwhile.
+func (w *leafWorker) end() bool {
+	w.postMu.Lock()
+	defer w.postMu.Unlock()
+	if len(w.inbox) > 0 {
+		return false
+	}
+	w.gone = true
+	return true
+}
+
 func (w *leafWorker) handle(ctx context.Context, ev workerEvent) {
 	switch ev := ev.(type) {
 	case requestArrived:
@@ -128,10 +156,7 @@
 	case requestEnded:
 		w.ended(ctx, ev)
 	case slotFreed:
-		w.leases.Ended(w.leaf.ID)
 		w.step(ctx, leafqueue.Done{ID: ev.id})
-	case requestGone:
-		w.leases.Ended(w.leaf.ID)
 	case slotReturned:
 		w.step(ctx, leafqueue.Done{ID: ev.id})
 	case probeEnded:
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -11,6 +11,10 @@
 	"github.com/medlarswitch/medlarswitch/internal/warmup"
 )
 
+// repostInterval is the pause before an event that must not be lost is posted
+// again to a full inbox.
+const repostInterval = 10 * time.Millisecond
+
 // dispatch sends a request to the leaf. A request under the lease must start
 // before the lease ends.
 func (w *leafWorker) dispatch(ctx context.Context, id uint64) {
@@ -67,16 +71,17 @@
 // ended here. A warm leaf's own shedding is trusted, so its slot is free at
 // once; that of another leaf is held until the request cannot run any more.
 func (w *leafWorker) endedUnknown(ctx context.Context, id uint64, req *leafRequest) {
-	var after workerEvent = slotFreed{id: id}
-	if !w.tracker.NeedsLease() {
+	holdsSlot := w.tracker.NeedsLease()
+	if !holdsSlot {
 		w.step(ctx, leafqueue.Done{ID: id})
-		after = requestGone{}
 	}
 	wait := w.leases.GoneBy(req.startBy, w.runLimit) - w.proc.Now()
 	time.AfterFunc(max(wait, 0), func() {
-		select {
-		case w.inbox <- after:
-		case <-ctx.Done():
+		// The lease learns of the end also when the worker is gone by then, or
+		// it would never again be acknowledged to others.
+		w.leases.Ended(w.leaf.ID)
+		for holdsSlot && !w.post(slotFreed{id: id}) && !w.hasEnded() {
+			time.Sleep(repostInterval)
 		}
 	})
 	w.step(ctx, leafqueue.Tick{})
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -27,9 +27,6 @@
 // frees its slot.
 type slotFreed struct{ id uint64 }
 
-// requestGone says the same of a request whose slot is free already.
-type requestGone struct{}
-
 // slotReturned frees the slot of a request that was not sent after all.
 type slotReturned struct{ id uint64 }
 
@@ -63,7 +60,6 @@
 func (requestCancelled) workerEvent() {}
 func (requestEnded) workerEvent()     {}
 func (slotFreed) workerEvent()        {}
-func (requestGone) workerEvent()      {}
 func (slotReturned) workerEvent()     {}
 func (probeEnded) workerEvent()       {}
 func (accepting) workerEvent()        {}
