Probe a leaf that has closed a connection before the next request

Cause: a warm leaf that restarts while it is idle closes its connections, but no request is lost and the next probe comes up to 1 s later. Until then its relay sent as many requests at once as the leaf's slots, over new connections, to a leaf that had just become cold. Ruled out by reading: requests with an unknown end (their slots are held) and the crash accounting of the stand-in (requests of an earlier boot free no slot). Change: the end of a connection by the leaf, seen by the reader of the connection, holds all requests of that leaf until a probe that began later has shown its boot ID. New connections are refused (not run) to requests that were dispatched just before. If that probe fails, the leaf is down at once. Conclusion: a closed connection is a sign of a restart as much as a reset of a running request is.

--- a/internal/relay/leaf_client.go
+++ b/internal/relay/leaf_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -25,24 +26,50 @@
 	probeTimeout    = 900 * time.Millisecond
 )
 
+// errUnchecked refuses a new connection for a request while the leaf may have
+// restarted.
+var errUnchecked = errors.New("the leaf closed a connection and has not been probed since")
+
+// probeKey marks the context of a probe.
+type probeKey struct{}
+
 // leafClient calls one leaf over its share of the leaf's connections.
 type leafClient struct {
 	leaf      *topology.Leaf
 	transport *http.Transport
 	rpc       medlarv1connect.LeafServiceClient
+	// onClosed is told how many connections the leaf has closed so far.
+	onClosed func(uint64)
+	// closed counts connections that the leaf has closed; checked is its value
+	// when the last probe that succeeded began.
+	closed, checked atomic.Uint64
 }
 
 // newLeafClient returns a client that opens at most the given number of
-// connections.
-func newLeafClient(leaf *topology.Leaf, connections int) *leafClient {
-	t := &http.Transport{
+// connections. onClosed must not block.
+func newLeafClient(leaf *topology.Leaf, connections int, onClosed func(uint64)) *leafClient {
+	c := &leafClient{leaf: leaf, onClosed: onClosed}
+	c.transport = &http.Transport{
 		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-		IdleConnTimeout: idleConnTimeout,
+		IdleConnTimeout: idleConnTimeout, DialContext: c.dial,
 	}
-	return &leafClient{
-		leaf: leaf, transport: t,
-		rpc: medlarv1connect.NewLeafServiceClient(&http.Client{Transport: t}, "http://"+leaf.Address),
+	c.rpc = medlarv1connect.NewLeafServiceClient(&http.Client{Transport: c.transport}, "http://"+leaf.Address)
+	return c
+}
+
+// dial opens a connection. One for a request is refused until the leaf has been
+// probed after it last closed a connection: the request was dispatched before
+// the worker knew.
+func (c *leafClient) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if ctx.Value(probeKey{}) == nil && c.closed.Load() > c.checked.Load() {
+		return nil, errUnchecked
 	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &leafConn{Conn: conn, ended: func() { c.onClosed(c.closed.Add(1)) }}, nil
 }
 
 // run sends one request and waits for its reply. startBy is wall time.
@@ -116,15 +143,21 @@
 	return leafResult{err: e, reset: e.Reason == errs.ReasonConnectionLost}
 }
 
-// probe asks for the leaf's report.
-func (c *leafClient) probe(ctx context.Context) (*medlarv1.ReportResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+// probe asks for the leaf's report. closed is how many connections the leaf had
+// closed when the probe began.
+func (c *leafClient) probe(ctx context.Context) (report *medlarv1.ReportResponse, closed uint64, err error) {
+	closed = c.closed.Load()
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, probeKey{}, true), probeTimeout)
 	defer cancel()
 	resp, err := c.rpc.Report(ctx, connect.NewRequest(&medlarv1.ReportRequest{}))
 	if err != nil {
-		return nil, errs.FromConnect(err, errs.StepLeafDial, string(c.leaf.ID))
+		return nil, closed, errs.FromConnect(err, errs.StepLeafDial, string(c.leaf.ID))
 	}
-	return resp.Msg, nil
+	return resp.Msg, closed, nil
 }
 
+// check allows new connections again after a probe that began when the leaf had
+// closed this many.
+func (c *leafClient) check(closed uint64) { c.checked.Store(closed) }
+
 func (c *leafClient) close() { c.transport.CloseIdleConnections() }
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -74,10 +74,9 @@
 }
 
 func newLeafWorker(proc *telemetry.Process, leaf *topology.Leaf, index *topology.Index, connections int, l leases, publish func(message.LeafFacts)) *leafWorker {
-	return &leafWorker{
+	w := &leafWorker{
 		metrics: newRelayMetrics(proc.Metrics),
 		proc:    proc, leaf: leaf, runLimit: index.RunLimit, slots: max(index.Slots, 1), leases: l, publish: publish,
-		client:   newLeafClient(leaf, connections),
 		inbox:    make(chan workerEvent, inboxSize),
 		queue:    leafqueue.New(leafqueue.Config{MaxQueued: maxQueued}),
 		tracker:  warmup.New(warmup.Config{Slots: index.Slots}),
@@ -86,6 +85,8 @@
 		peerSaid: make(map[topology.VMID]peerFacts),
 		open:     true,
 	}
+	w.client = newLeafClient(leaf, connections, func(closed uint64) { w.post(connectionClosed{closed: closed}) })
+	return w
 }
 
 // post hands an event to the worker and reports whether there was room. A
@@ -162,6 +163,9 @@
 	case probeEnded:
 		w.probed(ev)
 		w.step(ctx, leafqueue.Tick{})
+	case connectionClosed:
+		w.transitions(w.tracker.Step(w.proc.Now(), warmup.ConnectionClosed{Closed: ev.closed}))
+		w.step(ctx, leafqueue.Tick{})
 	case accepting:
 		w.open = ev.inService
 		w.step(ctx, leafqueue.Tick{})
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -33,9 +33,15 @@
 // probeEnded brings the leaf's report or a failure.
 type probeEnded struct {
 	report *medlarv1.ReportResponse
+	// closed is how many connections the leaf had closed when the probe began.
+	closed uint64
 	err    error
 }
 
+// connectionClosed says that the leaf has closed a connection, and how many it
+// has closed so far.
+type connectionClosed struct{ closed uint64 }
+
 // accepting says whether the leaf's zone is in service.
 type accepting struct{ inService bool }
 
@@ -62,6 +68,7 @@
 func (slotFreed) workerEvent()        {}
 func (slotReturned) workerEvent()     {}
 func (probeEnded) workerEvent()       {}
+func (connectionClosed) workerEvent() {}
 func (accepting) workerEvent()        {}
 func (ranked) workerEvent()           {}
 func (retired) workerEvent()          {}
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -21,9 +21,9 @@
 	w.probing = true
 	w.lastProbe = now
 	go func() {
-		report, err := w.client.probe(ctx)
+		report, closed, err := w.client.probe(ctx)
 		select {
-		case w.inbox <- probeEnded{report: report, err: err}:
+		case w.inbox <- probeEnded{report: report, closed: closed, err: err}:
 		case <-ctx.Done():
 		}
 	}()
@@ -38,11 +38,12 @@
 		return
 	}
 	r := ev.report
-	w.transitions(w.tracker.Step(now, warmup.Probed{OK: true, Boot: r.GetBootId()}))
+	w.transitions(w.tracker.Step(now, warmup.Probed{OK: true, Boot: r.GetBootId(), Closed: ev.closed}))
 	w.transitions(w.tracker.Step(now, warmup.Report{Boot: r.GetBootId(), Load: w.othersLoad(r.GetLoad()), Leaving: r.GetLeaving()}))
 	w.facts.IndexVersions = r.GetIndexVersions()
 	w.facts.PartitionGeneration = r.GetPartitionGeneration()
 	w.facts.Boot = r.GetBootId()
+	w.client.check(ev.closed)
 	// What other relays said before this relay knew the boot counts now.
 	for _, said := range w.peerSaid {
 		w.inherit(said)
--- a/internal/warmup/tracker.go
+++ b/internal/warmup/tracker.go
@@ -36,6 +36,7 @@
 	failed      int
 	pauseUntil  time.Duration
 	nextProbe   time.Duration
+	closing     closing
 	leavingBoot uint64
 	// fellBoot is the leaf's boot ID at the last fall without a new boot.
 	fellBoot uint64
@@ -64,6 +65,9 @@
 // Limit returns what the leaf may get now. It changes with each event and,
 // upwards, when a load report expires.
 func (t *Tracker) Limit(now time.Duration) Limit {
+	if t.closing.unchecked() {
+		return Limit{}
+	}
 	switch t.state {
 	case Down, Leaving:
 		return Limit{}
@@ -76,7 +80,7 @@
 // ProbeDue reports whether the shell has to probe the leaf. It stays true until
 // the probe's result is passed to Step.
 func (t *Tracker) ProbeDue(now time.Duration) bool {
-	return t.state == Down && now >= t.nextProbe
+	return (t.state == Down || t.closing.unchecked()) && now >= t.nextProbe
 }
 
 // Step applies an event and returns the changes of state.
@@ -98,6 +102,8 @@
 		t.cancelled(ev)
 	case ConnectFailed:
 		t.connectFailed(now)
+	case ConnectionClosed:
+		t.connectionClosed(now, ev)
 	case Probed:
 		t.probed(now, ev)
 	case Report:
--- a/internal/warmup/tracker_health.go
+++ b/internal/warmup/tracker_health.go
@@ -4,7 +4,9 @@
 
 func (t *Tracker) connectFailed(now time.Duration) {
 	t.failed++
-	if t.failed < downStreak || t.state == Down || t.state == Leaving {
+	// A leaf that has closed a connection and cannot be reached has stopped.
+	enough := t.failed >= downStreak || t.closing.unchecked()
+	if !enough || t.state == Down || t.state == Leaving {
 		return
 	}
 	t.set(Down, "connection attempts failed")
@@ -13,11 +15,19 @@
 
 func (t *Tracker) probed(now time.Duration, ev Probed) {
 	t.nextProbe = now + probeInterval
-	if !ev.OK || t.state != Down {
+	if !ev.OK || t.boots.stale(ev.Boot) {
 		return
 	}
-	t.boots.adopt(ev.Boot)
-	t.cold("probe succeeded")
+	if ev.Closed < t.closing.seen {
+		t.nextProbe = now
+	}
+	t.closing.probed = max(t.closing.probed, ev.Closed)
+	switch adopted := t.boots.adopt(ev.Boot); {
+	case t.state == Down:
+		t.cold("probe succeeded")
+	case adopted:
+		t.fall("new boot ID")
+	}
 }
 
 // report takes in a report unless it is known to be from an earlier boot.
