Start the load of planned stops on warm leaves

Cause: TestPlannedStop had 2 failures of 84 requests in one of three runs, and TestRollingReplacement was not seen to end. The load met leaves that bear one request of 48 ms at a time, so that queries lost all shards without any stop. Change: both tests send two callers' queries until every leaf has served what makes it warm, then start the load. The check, no failed request, stays. Ruled out: waiting until the relays count the leaves as warm. Beside the work of others (load average 40 to 54) replies took 80 to 700 ms for 12 ms of work, so 8 good ones in a row did not come within 85 s in 4 of 4 runs.

--- a/test/process/shutdown_test.go
+++ b/test/process/shutdown_test.go
@@ -61,6 +61,7 @@
 func TestPlannedStop(t *testing.T) {
 	r := newRig(t, "valdivia", 2, "course-finder")
 	defer r.reportFailure()
+	r.warmed()
 	l := r.startLoad()
 	for vm, roles := range [][]string{{harness.RoleEntry}, {harness.RoleRelay}, {harness.RoleAgent}, vmRoles} {
 		r.stopAll(vm, roles)
@@ -74,6 +75,7 @@
 func TestRollingReplacement(t *testing.T) {
 	r := newRig(t, "valdivia", 1, "course-finder")
 	defer r.reportFailure()
+	r.warmed()
 	l := r.startLoad()
 	for vm := range r.Fleet.VMs {
 		r.stopAll(vm, vmRoles)
