Prefer other leaves to one that runs requests without replying

TestUpstreamSilent failed: a leaf that accepts and runs requests but never replies, while its report probes succeed, stayed first choice of its shard.

Only 3 requests reach the leaf in 8 s: 469.9, 473.3, 476.7. - All others wait behind the held slot until their start-by, which is the latency target, and are refused (start-by-exceeded) or cancelled with no time left for the replica. These are the incomplete answers. - The leaf falls to cold after 7.6 s, with the third of these requests. That changes nothing: its replica is warming, cold and warming leaves are equal to entries, and the nearer one comes first. Hedges do not go to such leaves.

The relay sees all requests of a leaf, so the rule is there, in the warm-up tracker: a leaf that is not warm is silent from when it gave no sign of life for 4 times its baseline (300 ms without one) while it ran work, until it replies. After a request that ended without a reply it is on trial, and its queue refuses what would wait for a slot with "not run". Entries put silent leaves last, and first in one of eight plans, so that they are tried again. The ramp, the lease, held slots and hedges are as before.

--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -85,18 +85,13 @@
 	leaf  topology.LeafID
 }
 
-// pickLeads picks random leaves that are not warm or slow, while another leaf
-// of their shard is better.
+// pickLeads picks random leaves that are not warm, slow or silent, while another
+// leaf of their shard is better.
 func pickLeads(shards []shardCandidates) []lead {
 	var all []lead
 	for i := range shards {
-		if len(shards[i].groups[0])+len(shards[i].groups[1]) == 0 {
-			continue
-		}
-		for _, group := range shards[i].groups[2:] {
-			for _, c := range group {
-				all = append(all, lead{shard: i, leaf: c.Leaf})
-			}
+		for _, c := range shards[i].inferior() {
+			all = append(all, lead{shard: i, leaf: c.Leaf})
 		}
 	}
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
@@ -148,12 +143,18 @@
 	groups [groupCount][]query.Candidate
 }
 
-// groupCount is the number of combinations of good (warm and not slow) and
-// local.
-const groupCount = 4
+// Groups of a shard's leaves. Good ones are warm and not slow.
+const (
+	groupGoodLocal = iota
+	groupGoodFar
+	groupLocal
+	groupFar
+	// groupSilent holds the leaves that run requests without replying.
+	groupSilent
+	groupCount
+)
 
-// shard groups the leaves that serve the snapshot: warm ones that are not slow
-// before others, and this zone's before others.
+// shard groups the leaves that serve the snapshot.
 func (p *planner) shard(shard *topology.Shard, leaves map[topology.LeafID]message.LeafFacts, snap topology.Snapshot) shardCandidates {
 	out := shardCandidates{plan: query.ShardPlan{Shard: shard.ID, Weight: shard.Weight}}
 	delay := p.estimates.Delay(tierHighest, shard.ID)
@@ -164,8 +165,7 @@
 			continue
 		}
 		found = true
-		good := facts.Warm && !p.estimates.Slow(leaf, shard.Leaves)
-		group := 2*rank(good) + rank(leaf.Zone == p.zone)
+		group := p.group(leaf, shard, facts)
 		out.groups[group] = append(out.groups[group], query.Candidate{Leaf: leaf.ID, Warm: facts.Warm, HedgeAfter: delay})
 	}
 	if !found {
@@ -174,6 +174,30 @@
 	return out
 }
 
+// inferior returns the leaves that would never come first. Local and far leaves
+// of one quality do not differ in that.
+func (s *shardCandidates) inferior() []query.Candidate {
+	if len(s.groups[groupGoodLocal])+len(s.groups[groupGoodFar]) > 0 {
+		return slices.Concat(s.groups[groupLocal:]...)
+	}
+	if len(s.groups[groupLocal])+len(s.groups[groupFar]) > 0 {
+		return s.groups[groupSilent]
+	}
+	return nil
+}
+
+// group puts good leaves before others, this zone's before others, and silent
+// ones last.
+func (p *planner) group(leaf *topology.Leaf, shard *topology.Shard, facts message.LeafFacts) int {
+	if facts.Silent {
+		return groupSilent
+	}
+	if facts.Warm && !p.estimates.Slow(leaf, shard.Leaves) {
+		return groupGoodLocal + rank(leaf.Zone == p.zone)
+	}
+	return groupLocal + rank(leaf.Zone == p.zone)
+}
+
 // variant is a plan with the leaves of each group in random order.
 func variant(shards []shardCandidates, snap topology.Snapshot) query.Plan {
 	plan := query.Plan{Snapshot: snap, Shards: make([]query.ShardPlan, len(shards))}
--- a/internal/errs/reason.go
+++ b/internal/errs/reason.go
@@ -28,5 +28,8 @@
 	ReasonIssuerGone       Reason = "issuer-gone"
 	ReasonTicketExpired    Reason = "ticket-expired"
 	ReasonCrashed          Reason = "upstream-crashed"
-	ReasonPaused           Reason = "paused"
+	// ReasonNoReply: the leaf runs a request without replying, and has not
+	// replied to the one before it.
+	ReasonNoReply Reason = "upstream-no-reply"
+	ReasonPaused  Reason = "paused"
 )
--- a/internal/message/leaf_facts.go
+++ b/internal/message/leaf_facts.go
@@ -9,13 +9,16 @@
 // LeafFacts is what a relay tells entries about a leaf that it owns. It is
 // sent on change, and for all leaves when an entry connects.
 type LeafFacts struct {
-	Leaf                topology.LeafID `msgpack:"l"`
-	State               string          `msgpack:"s"`
-	Reason              string          `msgpack:"r,omitempty"`
-	Usable              bool            `msgpack:"u"`
-	Warm                bool            `msgpack:"w"`
-	IndexVersions       []uint64        `msgpack:"v,omitempty"`
-	PartitionGeneration uint64          `msgpack:"p"`
+	Leaf   topology.LeafID `msgpack:"l"`
+	State  string          `msgpack:"s"`
+	Reason string          `msgpack:"r,omitempty"`
+	Usable bool            `msgpack:"u"`
+	Warm   bool            `msgpack:"w"`
+	// Silent says that the leaf accepts requests but does not reply to them, so
+	// that other leaves of its shard are to be preferred.
+	Silent              bool     `msgpack:"n,omitempty"`
+	IndexVersions       []uint64 `msgpack:"v,omitempty"`
+	PartitionGeneration uint64   `msgpack:"p"`
 	// Boot is the leaf's boot ID, by its last report or reply.
 	Boot uint64 `msgpack:"b"`
 	// Baseline is the warm latency; 0 unless warm. The rank-2 relay takes it
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -216,6 +216,9 @@
 		return errs.ReasonLeaving
 	case w.tracker.NeedsLease() && !w.leases.Held(w.leaf.ID):
 		return errs.ReasonCold
+	case w.tracker.OnTrial() && w.queue.Running() >= w.tracker.Limit(w.proc.Now()).InFlight:
+		// What waits behind a request that may never end would wait in vain.
+		return errs.ReasonNoReply
 	default:
 		return ""
 	}
@@ -278,11 +281,14 @@
 
 func (w *leafWorker) nextWake() time.Duration {
 	now := w.proc.Now()
-	at, ok := w.queue.NextWake(now)
-	if !ok || at-now > idleWake {
-		return idleWake
+	wake := now + idleWake
+	if at, ok := w.queue.NextWake(now); ok {
+		wake = min(wake, at)
 	}
-	return max(at-now, 0)
+	if at, ok := w.tracker.SilentFrom(); ok && at > now {
+		wake = min(wake, at)
+	}
+	return max(wake-now, 0)
 }
 
 func failedReply(req *leafRequest, err *errs.Error) *message.LeafReply {
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -65,6 +65,7 @@
 	reason := w.unusable()
 	f.Usable = reason == "" && len(f.IndexVersions) > 0
 	f.Reason = string(reason)
+	f.Silent = w.tracker.Silent(w.proc.Now())
 	f.Baseline = w.roundBaseline()
 	f.FellBoot = w.tracker.FellBoot()
 	if !reflect.DeepEqual(f, w.told) {
--- a/internal/warmup/cancelled.go
+++ b/internal/warmup/cancelled.go
@@ -22,6 +22,7 @@
 		return
 	}
 	if normal := t.times.normal(); normal > 0 && ev.Ran > longRun*normal && ev.Ran > normal+minSlowExcess {
+		t.silence.unanswered++
 		t.countSlow()
 	}
 }
--- a/internal/warmup/inherited.go
+++ b/internal/warmup/inherited.go
@@ -25,7 +25,7 @@
 // not know of it. A leaf that turned cold since shows it by slow replies, as
 // it would at the other relay.
 func (t *Tracker) inherited(ev Inherited) {
-	measured := t.state != Cold || t.times.recent.set || t.inFlight > 0
+	measured := t.state != Cold || t.times.recent.set || t.inFlight > 0 || t.OnTrial()
 	if measured || ev.Boot == 0 || ev.Boot != t.boots.current || ev.Baseline <= 0 || ev.Boot == t.fellBoot {
 		return
 	}
--- a/internal/warmup/latencies.go
+++ b/internal/warmup/latencies.go
@@ -31,8 +31,7 @@
 // slow reports whether a latency is above the bound. The first reply has no
 // bound.
 func (l *latencies) slow(d time.Duration) bool {
-	normal := l.normal()
-	return normal > 0 && above(d, normal)
+	return l.normal() > 0 && d > l.longest()
 }
 
 // normal is the latency that replies are compared with, 0 before the first.
@@ -46,8 +45,14 @@
 	return 0
 }
 
-func above(d, normal time.Duration) bool {
-	return d > slowFactor*normal && d > normal+minSlowExcess
+// longest is how long a reply may take and not be slow. Before the first reply
+// it is a constant.
+func (l *latencies) longest() time.Duration {
+	normal := l.normal()
+	if normal == 0 {
+		return unmeasuredWait
+	}
+	return max(slowFactor*normal, normal+minSlowExcess)
 }
 
 // add takes in a latency. Slow replies do not move the warm baseline.
--- a/internal/warmup/tracker.go
+++ b/internal/warmup/tracker.go
@@ -19,13 +19,14 @@
 
 // Tracker follows one leaf. It is not safe for concurrent use.
 type Tracker struct {
-	cfg    Config
-	state  State
-	reason string
-	level  int
-	boots  boots
-	times  latencies
-	cap    loadCap
+	cfg     Config
+	state   State
+	reason  string
+	level   int
+	boots   boots
+	times   latencies
+	cap     loadCap
+	silence silence
 
 	inFlight int
 	// ignore is the number of requests in flight that were sent before the
@@ -84,13 +85,13 @@
 	from := t.state
 	switch ev := ev.(type) {
 	case Dispatched:
-		t.inFlight++
+		t.dispatched(now)
 	case Replied:
 		t.replied(now, ev)
 	case Refused:
 		t.refused(now, ev)
 	case TimedOut:
-		t.timedOut()
+		t.timedOut(now)
 	case Reset:
 		t.ended()
 		t.fallMeasured("connection reset")
@@ -126,12 +127,14 @@
 // fallMeasured is a fall by the leaf's behaviour while its boot stays the same.
 // That boot is not inherited as warm again.
 func (t *Tracker) fallMeasured(reason string) {
+	unanswered := t.silence.unanswered
 	t.fellBoot = t.boots.current
 	t.fall(reason)
+	t.silence.unanswered = unanswered
 }
 
 func (t *Tracker) cold(reason string) {
-	t.unproven = 0
+	t.unproven, t.silence.unanswered = 0, 0
 	t.set(Cold, reason)
 	t.level, t.good, t.slow, t.failed = halfDuty, 0, 0, 0
 	t.times = newLatencies()
--- a/internal/warmup/tracker_replies.go
+++ b/internal/warmup/tracker_replies.go
@@ -7,7 +7,8 @@
 	if t.state == Leaving {
 		return
 	}
-	t.failed = 0
+	t.failed, t.silence.unanswered = 0, 0
+	t.alive(now)
 	switch {
 	case t.boots.adopt(ev.Boot):
 		t.cold("new boot ID")
@@ -58,8 +59,15 @@
 	t.times.warm()
 }
 
-func (t *Tracker) timedOut() {
-	if t.ended() && (t.state == Warming || t.state == Warm) {
+func (t *Tracker) timedOut(now time.Duration) {
+	if !t.ended() {
+		return
+	}
+	// A request that started shortly before its deadline shows no silence.
+	if now > t.silence.since+t.times.longest() {
+		t.silence.unanswered++
+	}
+	if t.state == Warming || t.state == Warm {
 		t.countSlow()
 	}
 }
@@ -68,6 +76,7 @@
 // warms up, the limit also goes down one step, since the leaf could not bear it.
 func (t *Tracker) refused(now time.Duration, ev Refused) {
 	t.ended()
+	t.alive(now)
 	if ev.Leaving {
 		t.leave("refused as leaving", t.boots.current)
 		return
