Count the loss of a leaf once per query

A leaf that runs two requests of one query and is lost resets both of them. Each reset counted as a crash-like loss, and two losses put the fingerprint into quarantine for 10 minutes.

The entry now counts lost leaves instead of lost requests. After a crash a query sends nothing more, so one leaf cannot be lost twice in one query. TestCrashCountsOncePerLeaf covers it.

--- a/internal/entry/handler_query.go
+++ b/internal/entry/handler_query.go
@@ -76,7 +76,7 @@
 	s.proc.Events.Add(timeline.KindQueryStart, id, string(class.ID), "")
 	answer := r.run(ctx)
 	s.policy.took(class.ID, s.proc.Now()-began-waited)
-	s.policy.learn(class, fingerprint, r.crashes, answer.Covered > 0)
+	s.policy.learn(class, fingerprint, len(r.crashed), answer.Covered > 0)
 	s.metrics.done(s.proc.Now()-began, answer, len(plan.Shards), r.machine.Counters())
 	s.proc.Events.Add(timeline.KindQueryDone, id, string(class.ID), describe(answer))
 	if answer.Err != "" {
--- a/internal/entry/query_run.go
+++ b/internal/entry/query_run.go
@@ -38,8 +38,8 @@
 	attempts map[uint64]*attempt
 	hits     []*medlarv1.Hit
 	timer    *time.Timer
-	// crashes counts leaves that were lost while they ran this query.
-	crashes int
+	// crashed holds the leaves that were lost while they ran this query.
+	crashed map[topology.LeafID]bool
 	answer  *query.Answer
 }
 
@@ -86,14 +86,25 @@
 			gone = nil
 			ev = query.CallerGone{}
 		}
-		if failed, ok := ev.(query.Failed); ok && failed.Crash {
-			r.crashes++
-		}
+		r.noteCrash(ev)
 		r.apply(ctx, r.machine.Step(r.server.proc.Now(), ev, r.budget))
 	}
 	return *r.answer
 }
 
+// noteCrash records a leaf that was lost. One that ran two requests of the query
+// is one loss: two would put an innocent request into quarantine.
+func (r *queryRun) noteCrash(ev query.Event) {
+	failed, ok := ev.(query.Failed)
+	if !ok || !failed.Crash || r.attempts[failed.Attempt] == nil {
+		return
+	}
+	if r.crashed == nil {
+		r.crashed = make(map[topology.LeafID]bool)
+	}
+	r.crashed[r.attempts[failed.Attempt].leaf] = true
+}
+
 func (r *queryRun) apply(ctx context.Context, actions []query.Action) {
 	replan := false
 	var newer topology.Snapshot
--- /dev/null
+++ b/internal/entry/query_run_test.go
@@ -0,0 +1,22 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/query"
+)
+
+// Guards against a quarantine after the crash of one leaf that ran two requests
+// of the query, and against a crash that is not counted.
+func TestCrashCountsOncePerLeaf(t *testing.T) {
+	r := &queryRun{attempts: map[uint64]*attempt{1: {leaf: "a"}, 2: {leaf: "a"}, 3: {leaf: "b"}, 4: {leaf: "c"}}}
+	for _, ev := range []query.Event{
+		query.Failed{Attempt: 1, Crash: true}, query.Failed{Attempt: 2, Crash: true},
+		query.Failed{Attempt: 3, Crash: true}, query.Failed{Attempt: 4}, query.Failed{Attempt: 9, Crash: true},
+	} {
+		r.noteCrash(ev)
+	}
+	assert.Equal(t, len(r.crashed), 2)
+}
