Hold a repeat in the leaf's queue until its first request runs for long

Only the relay's queue knows whether a request still waits or runs. A second request to the same leaf helps when the first one straggles in a slot. When the first one waits, it only makes the queue longer.

leafqueue.Add has the ID of the request that it repeats. The queue dispatches a repeat when that request has been running for twice a typical run of the warm leaf and a slot is free, in the order of class and start-by, and refuses it when that request has ended, was cancelled or is unknown. A leaf that is not warm gets no repeat. The new event Ended refuses the repeat of a request that was answered while its slot is still held (a cold leaf), so that the query does not wait for it.

An older relay ignores the mark and runs the repeat as a request of its own.

--- a/internal/entry/query_run.go
+++ b/internal/entry/query_run.go
@@ -147,11 +147,7 @@
 	r.attempts[a.Attempt] = at
 	r.note(a)
 	now := r.server.proc.Now()
-	req := message.LeafRequest{
-		Leaf: a.Leaf, Op: message.OpSearch, RequestID: r.id, Class: r.class.ID,
-		Priority: r.class.Priority, Text: r.text,
-		StartBy: a.StartBy - now, Deadline: r.began + r.class.Deadline - now,
-	}
+	req := r.request(a, now)
 	first := a.Kind == query.KindFirst || a.Kind == query.KindCanary
 	if first {
 		r.server.policy.sent()
@@ -169,6 +165,15 @@
 	}()
 }
 
+// request is the message of a send. Its times are what is left of them.
+func (r *queryRun) request(a query.Send, now time.Duration) message.LeafRequest {
+	return message.LeafRequest{
+		Leaf: a.Leaf, Op: message.OpSearch, RequestID: r.id, Class: r.class.ID,
+		Priority: r.class.Priority, Repeat: a.Repeats != 0, Text: r.text,
+		StartBy: a.StartBy - now, Deadline: r.began + r.class.Deadline - now,
+	}
+}
+
 // post hands an event to the query, or drops it when the query has ended.
 func (r *queryRun) post(ev query.Event) {
 	select {
--- a/internal/entry/query_run_test.go
+++ b/internal/entry/query_run_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/medlarswitch/medlarswitch/internal/query"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
 // Guards against a quarantine after the crash of one leaf that ran two requests
@@ -20,3 +21,12 @@
 	}
 	assert.Equal(t, len(r.crashed), 2)
 }
+
+// Guards against a repeat that its relay takes for a request of its own and
+// runs while the first one still waits.
+func TestRepeatIsMarked(t *testing.T) {
+	r := &queryRun{id: "q", class: &topology.Class{}}
+	first, repeat := r.request(query.Send{Attempt: 1}, 0), r.request(query.Send{Attempt: 2, Repeats: 1}, 0)
+	assert.Equal(t, first.RequestID, repeat.RequestID)
+	assert.Assert(t, !first.Repeat && repeat.Repeat)
+}
--- a/internal/leafqueue/queue_test.go
+++ b/internal/leafqueue/queue_test.go
@@ -91,12 +91,13 @@
 	assert.Assert(t, ok && wake == 9)
 }
 
-// Guards against requests that get no answer or two, and against a limit that
-// is exceeded, over random events.
+// Guards against requests that get no answer or two, against a limit that is
+// exceeded, and against repeats that run alone, over random events.
 func TestEveryAddIsAnsweredOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(Config{MaxQueued: rapid.IntRange(0, 4).Draw(t, "max")})
 		state := map[uint64]string{}
+		repeats := map[uint64]uint64{}
 		var now time.Duration
 		var next uint64
 		allowed, running := 0, 0
@@ -105,6 +106,9 @@
 				switch a := a.(type) {
 				case Dispatch:
 					assert.Equal(t, state[a.ID], "queued")
+					if first, ok := repeats[a.ID]; ok {
+						assert.Equal(t, state[first], "running", "repeat of a request that does not run")
+					}
 					state[a.ID], running = "running", running+1
 					assert.Assert(t, running <= allowed)
 				case Refuse:
@@ -116,11 +120,16 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "dt"))
 			id := uint64(rapid.IntRange(1, int(next)+1).Draw(t, "id"))
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0, 1:
 				next++
 				state[next] = "queued"
-				apply(add(next, rapid.IntRange(0, 2).Draw(t, "priority"), now+time.Duration(rapid.IntRange(0, 9).Draw(t, "ttl"))))
+				ev := add(next, rapid.IntRange(0, 2).Draw(t, "priority"), now+time.Duration(rapid.IntRange(0, 9).Draw(t, "ttl")))
+				if rapid.Bool().Draw(t, "repeat") {
+					ev.Repeats = id
+					repeats[next] = id
+				}
+				apply(ev)
 			case 2:
 				if state[id] == "running" {
 					state[id], running = "done", running-1
@@ -130,9 +139,11 @@
 				apply(Cancel{ID: id})
 			case 4:
 				allowed = rapid.IntRange(0, 3).Draw(t, "limit")
-				apply(limit(allowed))
+				apply(SetLimit{InFlight: allowed, Typical: time.Duration(rapid.IntRange(0, 2).Draw(t, "typical"))})
 			case 5:
 				apply(Tick{})
+			case 6:
+				apply(Ended{ID: id})
 			}
 		}
 		apply(Close{Reason: errs.ReasonDraining})
--- a/internal/leafqueue/run_state.go
+++ b/internal/leafqueue/run_state.go
@@ -1,9 +1,11 @@
 package leafqueue
 
-// runState tells whether a running request was aborted already.
-type runState int
+import "time"
 
-const (
-	runNormal runState = iota
-	runAborted
-)
+// runState is a request that is dispatched and not done.
+type runState struct {
+	since time.Duration
+	// unwanted is set once the request was cancelled or answered. The shell is
+	// told to cancel it at most once.
+	unwanted bool
+}
--- a/internal/measure/query_run.go
+++ b/internal/measure/query_run.go
@@ -68,6 +68,9 @@
 			sim.network.send(r.leaf.zone, q.entry.zone, r.leaf.index, func() { q.replied(at, answer) })
 		},
 	}
+	if s.Repeats != 0 {
+		at.request.repeats = q.attempts[s.Repeats].request
+	}
 	q.attempts[s.Attempt] = at
 	q.entry.spend.sent(s.Kind)
 	sim.network.send(q.entry.zone, r.leaf.zone, r.leaf.index, func() { r.add(at.request) })
--- a/internal/measure/relay.go
+++ b/internal/measure/relay.go
@@ -56,7 +56,7 @@
 	r.nextID++
 	req.id = r.nextID
 	r.requests[req.id] = req
-	r.step(leafqueue.Add{ID: req.id, Priority: req.priority, StartBy: req.startBy})
+	r.step(leafqueue.Add{ID: req.id, Priority: req.priority, StartBy: req.startBy, Repeats: req.repeatsID()})
 }
 
 func (r *relay) cancel(req *leafRequest) {
@@ -88,7 +88,8 @@
 		return leafqueue.SetLimit{}
 	}
 	limit := r.tracker.Limit(r.sim.now)
-	return leafqueue.SetLimit{InFlight: limit.InFlight, NotBefore: limit.NotBefore}
+	typical, _ := r.tracker.Warmth()
+	return leafqueue.SetLimit{InFlight: limit.InFlight, NotBefore: limit.NotBefore, Typical: typical}
 }
 
 func (r *relay) apply(actions []leafqueue.Action) {
--- a/internal/measure/relay_dispatch.go
+++ b/internal/measure/relay_dispatch.go
@@ -52,7 +52,7 @@
 func (r *relay) hold(req *leafRequest) {
 	wait := max(req.startBy-r.sim.now+runLimit, 0)
 	r.sim.after(wait, func() { r.step(leafqueue.Done{ID: req.id}) })
-	r.step(leafqueue.Tick{})
+	r.step(leafqueue.Ended{ID: req.id})
 }
 
 func (r *relay) observe(req *leafRequest, o outcome, boot uint64) {
--- a/internal/measure/relay_request.go
+++ b/internal/measure/relay_request.go
@@ -11,10 +11,20 @@
 	run      *run
 	sent     time.Duration
 	ended    bool
+	// repeats is the request that this one repeats in the same leaf, or nil.
+	repeats *leafRequest
 	// answer brings the reply back to the entry.
 	answer func(reply)
 }
 
+// repeatsID is the relay's ID of the request that this one repeats, or 0.
+func (r *leafRequest) repeatsID() uint64 {
+	if r.repeats == nil {
+		return 0
+	}
+	return r.repeats.id
+}
+
 // reply is what a relay says of a request.
 type reply struct {
 	ok     bool
--- a/internal/query/machine_launch.go
+++ b/internal/query/machine_launch.go
@@ -84,14 +84,26 @@
 	s.status = shardRunning
 	s.tried |= 1 << candidate
 	s.sends++
+	repeats := m.openAt(s, candidate)
 	s.replace(0, id)
 	m.armHedge(now, s, plan.Candidates[candidate].HedgeAfter, kind)
 	m.emit(Send{
 		Attempt: id, Shard: plan.Shard, Leaf: plan.Candidates[candidate].Leaf,
 		Snapshot: m.plan.Snapshot, StartBy: m.startBy(now), Kind: kind,
+		Repeats: repeats,
 	})
 }
 
+// openAt returns the open attempt of a shard at a candidate, or 0.
+func (m *Machine) openAt(s *shardState, candidate int) uint64 {
+	for _, id := range s.open {
+		if id != 0 && m.attempts[id-1].candidate == candidate {
+			return id
+		}
+	}
+	return 0
+}
+
 // armHedge plans the hedge of an attempt. A hedge gets none, and neither does
 // the canary, which must reach one leaf only.
 func (m *Machine) armHedge(now time.Duration, s *shardState, after time.Duration, kind Kind) {
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -149,8 +149,7 @@
 func (w *leafWorker) handle(ctx context.Context, ev workerEvent) {
 	switch ev := ev.(type) {
 	case requestArrived:
-		w.requests[ev.request.id] = ev.request
-		w.step(ctx, leafqueue.Add{ID: ev.request.id, Priority: ev.request.message.Priority, StartBy: ev.request.startBy})
+		w.arrived(ctx, ev.request)
 	case requestCancelled:
 		w.step(ctx, leafqueue.Cancel{ID: ev.id})
 	case requestEnded:
@@ -224,7 +223,8 @@
 // limit is what the leaf may get now.
 func (w *leafWorker) limit(now time.Duration) leafqueue.SetLimit {
 	l := w.tracker.Limit(now)
-	return leafqueue.SetLimit{InFlight: l.InFlight, NotBefore: l.NotBefore}
+	typical, _ := w.tracker.Warmth()
+	return leafqueue.SetLimit{InFlight: l.InFlight, NotBefore: l.NotBefore, Typical: typical}
 }
 
 // wantLease asks for the lease while the leaf needs one and takes work.
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -84,7 +84,7 @@
 			time.Sleep(repostInterval)
 		}
 	})
-	w.step(ctx, leafqueue.Tick{})
+	w.step(ctx, leafqueue.Ended{ID: id})
 }
 
 // outcomeEvent tells the warm-up tracker how a request ended.
