Hedge to the same warm leaf when no other is warm

Half of the shards have one leaf then and its slots are 60% in use, so that even one held slot makes the queue grow.

A hedge without another warm leaf now repeats the request at the same leaf, after twice the hedge delay, from the same budget; the loser is cancelled. The refusal of a repeat does not replace the reason for a missing shard.

The row "no hedge to a cold replica" of TestFaults expected no hedge at all; it now requires that each goes to the leaf that was asked first.

--- a/internal/query/faults_replica_test.go
+++ b/internal/query/faults_replica_test.go
@@ -7,6 +7,13 @@
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
+// onlyFirst leaves one leaf per shard, as while an availability zone is out.
+func onlyFirst(p *Plan) {
+	for i := range p.Shards {
+		p.Shards[i].Candidates = p.Shards[i].Candidates[:1]
+	}
+}
+
 // replicaFaults are lost, late, stray and slow replies.
 var replicaFaults = []fault{
 	{name: "no fault", script: func(h *harness) { h.reply("s0", "s1", "s2") }, want: full},
@@ -105,10 +112,54 @@
 		for i := range p.Shards {
 			p.Shards[i].Candidates[1].Warm = false
 		}
+	}, script: func(h *harness) {
+		h.timerAt(40 * ms)
+		for i, s := range h.sends {
+			assert.Equal(h.t, s.Leaf, h.sends[i%3].Leaf)
+		}
+		h.reply("s0", "s1", "s2")
+	}, want: full, sends: and(three, KindHedge, KindHedge, KindHedge)},
+	{name: "only leaf is warm and slow", budget: 9, plan: onlyFirst, script: func(h *harness) {
+		h.reply("s0", "s1")
+		h.timerAt(20 * ms)
+		assert.Equal(h.t, len(h.sends), 3)
+		h.timerAt(40 * ms)
+		repeat := h.last("s2")
+		assert.Equal(h.t, repeat.Leaf, h.sends[2].Leaf)
+		assert.Equal(h.t, repeat.Repeats, h.sends[2].Attempt)
+		h.timerAt(90 * ms)
+		h.step(replyTo(repeat))
+		assert.DeepEqual(h.t, h.aborted, []uint64{3})
+	}, want: full, sends: and(three, KindHedge)},
+	{name: "only leaf is slow and refuses the repeat", budget: 9, plan: onlyFirst, script: func(h *harness) {
+		h.reply("s0", "s1")
+		h.timerAt(40 * ms)
+		h.step(Failed{Attempt: h.last("s2").Attempt, Reason: errs.ReasonCancelled, NotRun: true})
+		h.step(replyTo(h.sends[2]))
+	}, want: full, sends: and(three, KindHedge)},
+	{name: "only leaf is slow and fails", budget: 9, plan: onlyFirst, script: func(h *harness) {
+		h.reply("s0", "s1")
+		h.timerAt(40 * ms)
+		h.step(Failed{Attempt: 3, Reason: errs.ReasonShed, NotRun: true})
+		h.step(Failed{Attempt: 4, Reason: errs.ReasonCancelled, NotRun: true})
+	}, want: partial(30, miss("s2", errs.ReasonShed)), sends: and(three, KindHedge)},
+	{name: "only leaf is cold and slow", budget: 9, plan: func(p *Plan) {
+		onlyFirst(p)
+		for i := range p.Shards {
+			p.Shards[i].Candidates[0].Warm = false
+		}
 	}, script: func(h *harness) {
 		h.timerAt(20 * ms)
+		h.timerAt(60 * ms)
 		h.reply("s0", "s1", "s2")
 	}, want: full},
+	{name: "other warm leaf goes before the same leaf", budget: 9, script: func(h *harness) {
+		h.reply("s0", "s1")
+		h.timerAt(h.wake)
+		assert.Assert(h.t, h.last("s2").Leaf != h.sends[2].Leaf)
+		assert.Equal(h.t, h.last("s2").Repeats, uint64(0))
+		h.reply("s2")
+	}, want: full, sends: and(three, KindHedge)},
 	{name: "budget denied", script: func(h *harness) {
 		h.timerAt(20 * ms)
 		h.fail("s1", errs.ReasonShed)
--- a/internal/query/kind.go
+++ b/internal/query/kind.go
@@ -9,7 +9,8 @@
 	KindFirst Kind = iota
 	// KindCanary is the first request of a query that has yet to fan out.
 	KindCanary
-	// KindHedge is a second request while another one is still running.
+	// KindHedge is a second request while another one is still running, to
+	// another leaf or, when no other is warm, to the same one.
 	KindHedge
 	// KindRetry follows an attempt that may have run.
 	KindRetry
--- a/internal/query/machine_failure.go
+++ b/internal/query/machine_failure.go
@@ -86,6 +86,9 @@
 		return false
 	}
 	next := s.next(m.plan.Shards[shard].Candidates, kind == KindHedge)
+	if next < 0 && kind == KindHedge {
+		next = m.sameLeaf(shard)
+	}
 	if next < 0 || !m.spend(kind, budget) {
 		return false
 	}
@@ -93,6 +96,22 @@
 	return true
 }
 
+// sameLeaf returns the candidate of a shard's open attempt when it is warm, or
+// -1. While an availability zone is out, many shards have one leaf. A second run
+// in its other slot mostly ends before a straggler, whose slot is then free too.
+func (m *Machine) sameLeaf(shard int) int {
+	for _, id := range m.shards[shard].open {
+		if id == 0 {
+			continue
+		}
+		candidate := m.attempts[id-1].candidate
+		if m.plan.Shards[shard].Candidates[candidate].Warm {
+			return candidate
+		}
+	}
+	return -1
+}
+
 func (m *Machine) spend(kind Kind, budget Budget) bool {
 	if budget == nil || !budget.TrySpend(kind) {
 		m.counters.Denied++
--- a/internal/query/machine_launch.go
+++ b/internal/query/machine_launch.go
@@ -86,7 +86,7 @@
 	s.sends++
 	repeats := m.openAt(s, candidate)
 	s.replace(0, id)
-	m.armHedge(now, s, plan.Candidates[candidate].HedgeAfter, kind)
+	m.armHedge(now, s, s.hedgeAfter(plan.Candidates, candidate), kind)
 	m.emit(Send{
 		Attempt: id, Shard: plan.Shard, Leaf: plan.Candidates[candidate].Leaf,
 		Snapshot: m.plan.Snapshot, StartBy: m.startBy(now), Kind: kind,
--- a/internal/query/shard_state.go
+++ b/internal/query/shard_state.go
@@ -40,11 +40,28 @@
 }
 
 // note records why an attempt was lost. A crash is not overwritten, since it
-// explains why the shard was not tried again.
+// explains why the shard was not tried again, and nothing is by the refusal of
+// a repeat whose first attempt has ended.
 func (s *shardState) note(reason errs.Reason) {
-	if s.reason != errs.ReasonCrashed {
-		s.reason = reason
+	if s.reason == errs.ReasonCrashed || s.reason != "" && reason == errs.ReasonCancelled {
+		return
 	}
+	s.reason = reason
+}
+
+// repeatFactor times the hedge delay is the wait before a second request to the
+// same leaf. While a shard has one leaf, far more than one request in twenty
+// waits longer than the hedge delay in its queue. Asking for all of them uses up
+// the budget, and then the few that are straggling get no second request.
+const repeatFactor = 2
+
+// hedgeAfter returns how long to wait for a candidate before a hedge.
+func (s *shardState) hedgeAfter(candidates []Candidate, candidate int) time.Duration {
+	after := candidates[candidate].HedgeAfter
+	if s.next(candidates, true) < 0 {
+		return repeatFactor * after
+	}
+	return after
 }
 
 // next returns the first candidate that was not tried, or -1.
