Add contract tests of the platform client

Cause: the client of the store and of the VM list had no tests of its own. The tests cover four calls with six faults, the time limit of each call and a caller that leaves. Guards taken out in a scratch copy: a refusal by version that is not mapped to ErrConflict (TestFaults fails), a Get without a time limit (TestCallsAreBounded fails with limit 0s). No fault found. Not covered: the timeout itself, which needs 2 s of real time; the test checks the limit that the client announces.

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,143 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+)
+
+// fakePlatform fails each call with fail, unless that is nil.
+type fakePlatform struct {
+	medlarv1connect.UnimplementedObjectStoreHandler
+	medlarv1connect.UnimplementedVMListHandler
+	fail func() error
+}
+
+func (f *fakePlatform) Get(context.Context, *connect.Request[medlarv1.GetRequest]) (*connect.Response[medlarv1.GetResponse], error) {
+	return connect.NewResponse(&medlarv1.GetResponse{}), f.fail()
+}
+
+func (f *fakePlatform) Put(context.Context, *connect.Request[medlarv1.PutRequest]) (*connect.Response[medlarv1.PutResponse], error) {
+	return connect.NewResponse(&medlarv1.PutResponse{Version: 8}), f.fail()
+}
+
+func (f *fakePlatform) Watch(context.Context, *connect.Request[medlarv1.WatchRequest]) (*connect.Response[medlarv1.GetResponse], error) {
+	return connect.NewResponse(&medlarv1.GetResponse{Version: 7}), f.fail()
+}
+
+func (f *fakePlatform) ListVMs(context.Context, *connect.Request[medlarv1.ListVMsRequest]) (*connect.Response[medlarv1.ListVMsResponse], error) {
+	return connect.NewResponse(&medlarv1.ListVMsResponse{Version: 3}), f.fail()
+}
+
+// serve returns a client of a fake. Each call's time limit goes to limits.
+func serve(t *testing.T, fail func() error) (c *Client, limits chan time.Duration) {
+	f := &fakePlatform{fail: fail}
+	mux := http.NewServeMux()
+	mux.Handle(medlarv1connect.NewObjectStoreHandler(f))
+	mux.Handle(medlarv1connect.NewVMListHandler(f))
+	limits = make(chan time.Duration, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.Atoi(r.Header.Get("Connect-Timeout-Ms"))
+		limits <- time.Duration(ms) * time.Millisecond
+		mux.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return NewClient(server.URL, "team"), limits
+}
+
+const watchFor = 900 * time.Millisecond
+
+var calls = map[string]func(ctx context.Context, c *Client) (version uint64, err error){
+	"get": func(ctx context.Context, c *Client) (uint64, error) {
+		o, err := c.Get(ctx, "key")
+		return o.Version, err
+	},
+	"put": func(ctx context.Context, c *Client) (uint64, error) { return c.Put(ctx, "key", []byte("v"), 7) },
+	"watch": func(ctx context.Context, c *Client) (uint64, error) {
+		o, err := c.Watch(ctx, "key", 6, watchFor)
+		return o.Version, err
+	},
+	"vms": func(ctx context.Context, c *Client) (uint64, error) {
+		view, err := c.VMs(ctx)
+		return view.Version, err
+	},
+}
+
+// Guards against a failure that passes for an answer, an unknown outcome of a
+// write that passes for a conflict, and an error that does not name its peer.
+func TestFaults(t *testing.T) {
+	code := func(c connect.Code) func() error {
+		return func() error { return connect.NewError(c, errors.New("fault")) }
+	}
+	rows := map[string]struct {
+		fail   func() error
+		reason errs.Reason
+		// conflict is true if a put with this fault was certainly not applied.
+		conflict bool
+	}{
+		"other version":   {fail: code(connect.CodeFailedPrecondition), reason: errs.ReasonConnectionLost, conflict: true},
+		"503":             {fail: code(connect.CodeUnavailable), reason: errs.ReasonConnectionLost},
+		"500":             {fail: code(connect.CodeInternal), reason: errs.ReasonConnectionLost},
+		"late":            {fail: code(connect.CodeDeadlineExceeded), reason: errs.ReasonDeadline},
+		"aborted":         {fail: code(connect.CodeAborted), reason: errs.ReasonConnectionLost},
+		"connection lost": {fail: func() error { panic(http.ErrAbortHandler) }, reason: errs.ReasonConnectionLost},
+	}
+	for name, row := range rows {
+		for method, call := range calls {
+			c, _ := serve(t, row.fail)
+			version, err := call(context.Background(), c)
+			assert.Equal(t, version, uint64(0))
+			if row.conflict && method == "put" {
+				assert.Assert(t, errors.Is(err, ErrConflict), "%v", err)
+				continue
+			}
+			var e *errs.Error
+			assert.Assert(t, errors.As(err, &e), "%s of %s: %v", name, method, err)
+			assert.Assert(t, !errors.Is(err, ErrConflict) && !e.NotRun)
+			assert.Equal(t, e.Reason, row.reason, "%s of %s", name, method)
+			assert.Equal(t, e.Step, errs.StepStore)
+			assert.Equal(t, e.Peer, c.url)
+		}
+	}
+}
+
+// Guards against a call without a time limit: a store that is slow for long
+// would hold up its caller for as long.
+func TestCallsAreBounded(t *testing.T) {
+	want := map[string]uint64{"get": 0, "put": 8, "watch": 7, "vms": 3}
+	for method, call := range calls {
+		c, limits := serve(t, func() error { return nil })
+		version, err := call(context.Background(), c)
+		assert.NilError(t, err)
+		assert.Equal(t, version, want[method])
+		longest := callTimeout
+		if method == "watch" {
+			longest += watchFor
+		}
+		limit := <-limits
+		assert.Assert(t, limit > 0 && limit <= longest, "%s: limit %s", method, limit)
+	}
+}
+
+// Guards against a caller that has left and still waits for a slow store.
+func TestCallEndsWithItsCaller(t *testing.T) {
+	for method, call := range calls {
+		ctx, cancel := context.WithCancel(context.Background())
+		release := make(chan struct{})
+		c, _ := serve(t, func() error { cancel(); <-release; return nil })
+		_, err := call(ctx, c)
+		close(release)
+		assert.Assert(t, err != nil && !errors.Is(err, ErrConflict), method)
+	}
+}
