Report an edit that was applied late as accepted

Cause: found by TestAnswerMatchesStore, which is new. An update of the manifest without an answer is read back; if the manifest was unchanged, the editor decided again. An update that the store applied after that read was then found in the document and refused as "the edit ID is used already", so an accepted edit was reported as rejected. If the store failed after that read, the operator got the store's error instead of ErrUnknown while the update was still open. Now the next read of the document is resolved like the one before, and while an update is open each failure is ErrUnknown. A manifest that cannot be decoded after an update without an answer also gives ErrUnknown. Ruled out: the update without an answer running twice; it is sent again with the same version, which the store applies at most once. Open: a store that refuses the manifest update for good (credentials, size) is asked 20 times, and the answer is then ErrUnknown instead of rejected.

--- a/internal/editor/editor.go
+++ b/internal/editor/editor.go
@@ -76,34 +76,64 @@
 }
 
 // Apply makes an edit and returns the generation that accepted it. A rejected
-// edit gives servicedoc.Problems and changes nothing.
+// edit gives servicedoc.Problems and changes nothing. ErrUnknown is the only
+// error after which the edit may still be accepted.
 func (e *Editor) Apply(ctx context.Context, doc Document, edit configedit.Edit) (uint64, error) {
+	// open is set while an update without an answer may still be applied.
+	open := false
 	for range maxRounds {
 		next, problems := configedit.Decide(doc.Base, edit)
 		if len(problems) > 0 {
 			return 0, problems
 		}
 		if err := e.putSection(ctx, edit); err != nil {
-			return 0, err
+			return 0, failure(open, err)
 		}
 		outcome, err := e.putManifest(ctx, doc, next, edit)
 		if err != nil {
 			return 0, err
 		}
-		switch outcome.Verdict {
-		case configedit.Accepted:
-			return outcome.Generation, nil
-		case configedit.Conflict:
-			return 0, errors.Errorf("section %q was changed by team %q in generation %d after you read it: read it again", edit.Section, outcome.By.Team, outcome.By.Generation)
-		case configedit.Unknown:
-			return 0, ErrUnknown
+		if final(outcome) {
+			return report(outcome, edit)
 		}
 		pause(ctx)
+		before := doc.Manifest
 		if doc, err = e.Read(ctx); err != nil {
-			return 0, err
+			return 0, failure(outcome.Verdict == configedit.SendAgain, err)
+		}
+		// The update may have been applied since the manifest was read back.
+		outcome = configedit.Resolve(before, doc.Manifest, edit)
+		if final(outcome) {
+			return report(outcome, edit)
 		}
+		open = outcome.Verdict == configedit.SendAgain
+	}
+	return 0, failure(open, errors.Errorf("other edits came first %d times: try again", maxRounds))
+}
+
+// failure returns the error of an edit that is given up.
+func failure(open bool, err error) error {
+	if open {
+		return errors.WithMessage(ErrUnknown, err.Error())
+	}
+	return err
+}
+
+// final reports whether nothing more is to be done for an edit.
+func final(o configedit.Outcome) bool {
+	return o.Verdict != configedit.SendAgain && o.Verdict != configedit.DecideAgain
+}
+
+// report returns what a final outcome means for the operator.
+func report(o configedit.Outcome, edit configedit.Edit) (uint64, error) {
+	switch o.Verdict {
+	case configedit.Accepted:
+		return o.Generation, nil
+	case configedit.Conflict:
+		return 0, errors.Errorf("section %q was changed by team %q in generation %d after you read it: read it again", edit.Section, o.By.Team, o.By.Generation)
+	default:
+		return 0, ErrUnknown
 	}
-	return 0, errors.Errorf("other edits came first %d times: try again", maxRounds)
 }
 
 // putSection writes the immutable version of the section. Its key is new, so a
@@ -156,7 +186,7 @@
 	if object.Version != 0 {
 		var err error
 		if current, err = confsync.DecodeManifest(object.Value); err != nil {
-			return configedit.Outcome{}, err
+			return configedit.Outcome{}, failure(true, err)
 		}
 	}
 	return configedit.Resolve(doc.Manifest, current, edit), nil
--- /dev/null
+++ b/internal/editor/editor_test.go
@@ -0,0 +1,158 @@
+package editor
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/confsync"
+)
+
+const (
+	accepted = "accepted"
+	rejected = "rejected"
+	unknown  = "unknown"
+)
+
+func answer(err error) string {
+	switch {
+	case err == nil:
+		return accepted
+	case errors.Is(err, ErrUnknown):
+		return unknown
+	}
+	return rejected
+}
+
+// generationOf returns how often the store holds an edit, and the generation.
+func generationOf(t *testing.T, reader *operator, editID string) (times int, generation uint64) {
+	doc, err := reader.Read(context.Background())
+	assert.NilError(t, err)
+	for _, e := range doc.Manifest.Edits {
+		if e.EditID == editID {
+			times, generation = times+1, e.Generation
+		}
+	}
+	return times, generation
+}
+
+// Guards against an edit that is reported with another outcome than it has in
+// the store, also when a write is applied late, and against one applied twice.
+func TestAnswerMatchesStore(t *testing.T) {
+	rows := []struct {
+		name   string
+		text   []byte
+		faults map[string]fault
+		// others are edits of another operator, before a call of this one.
+		others     map[string]string
+		want       string
+		generation uint64
+	}{
+		{name: "no fault", want: accepted, generation: 4},
+		{name: "invalid text", text: []byte("kind = 1"), want: rejected},
+		{name: "section: reply lost", faults: map[string]fault{"put section 1": lose}, want: accepted, generation: 4},
+		{name: "section: refused", faults: map[string]fault{"put section 1": refuse}, want: rejected},
+		{name: "section: applied, store down", faults: map[string]fault{"put section 1": lose, "get section 1": down}, want: rejected},
+		{name: "manifest: refused", faults: map[string]fault{"put manifest 1": refuse}, want: accepted, generation: 4},
+		{name: "manifest: reply lost", faults: map[string]fault{"put manifest 1": lose}, want: accepted, generation: 4},
+		{name: "manifest: reply lost, read refused", faults: map[string]fault{"put manifest 1": lose, "get manifest 1": refuse}, want: accepted, generation: 4},
+		{name: "manifest: reply lost, store down", faults: map[string]fault{"put manifest 1": lose, "get manifest 1": down}, want: unknown},
+		{name: "manifest: store down", faults: map[string]fault{"put manifest 1": down}, want: unknown},
+		{name: "manifest: store slow", faults: map[string]fault{"put manifest 1": slow}, want: unknown},
+		{name: "manifest: applied before the read", faults: map[string]fault{"put manifest 1": hold, "get manifest 1": arrive}, want: accepted, generation: 4},
+		{name: "manifest: applied after the read", faults: map[string]fault{"put manifest 1": hold, "get manifest 2": arrive}, want: accepted, generation: 4},
+		{name: "manifest: applied before the second update", faults: map[string]fault{"put manifest 1": hold, "put manifest 2": arrive}, want: accepted, generation: 4},
+		{name: "manifest: unanswered, store down after the read", faults: map[string]fault{"put manifest 1": hold, "get manifest 2": down}, want: unknown},
+		{name: "manifest: unanswered, section refused", faults: map[string]fault{"put manifest 1": hold, "put section 2": refuse, "get section 4": down}, want: unknown},
+		{name: "loses to another section", others: map[string]string{"put manifest 1": "index.b"}, want: accepted, generation: 5},
+		{name: "loses to the same section", others: map[string]string{"put manifest 1": "index.a"}, want: rejected},
+		{name: "changed after the read", faults: map[string]fault{"put manifest 1": hold}, others: map[string]string{"get manifest 2": "index.a"}, want: rejected},
+		{name: "reply lost, changed by another", faults: map[string]fault{"put manifest 1": lose}, others: map[string]string{"get manifest 1": "index.a"}, want: accepted, generation: 4},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			store, other := document(t)
+			o := newOperator(t, store, "second")
+			doc, err := o.Read(o.ctx)
+			assert.NilError(t, err)
+			faults := map[string]fault{}
+			for call, f := range row.faults {
+				faults[call] = f
+			}
+			for call, section := range row.others {
+				faults[call] = func(*operator, context.Context, func()) error {
+					other.put(t, section, indexText(section[len("index."):], 7009))
+					return nil
+				}
+			}
+			o.inject(faults)
+			text := row.text
+			if text == nil {
+				text = indexText("a", 7005)
+			}
+			edit := o.NewEdit(doc, "index.a", text)
+			generation, err := o.Apply(o.ctx, doc, edit)
+			assert.Equal(t, answer(err), row.want, "%v", err)
+			assert.Equal(t, generation, row.generation)
+			o.applyDelayed()
+			times, held := generationOf(t, other, edit.ID)
+			assert.Assert(t, times <= 1)
+			assert.Assert(t, row.want != rejected || times == 0, "rejected, but applied in generation %d", held)
+			assert.Assert(t, row.want != accepted || held == generation, "accepted as %d, held as %d", generation, held)
+		})
+	}
+}
+
+// Guards against two operators of whom both or none gets a section, or one
+// undoes the other's edit of another section.
+func TestOperatorsRace(t *testing.T) {
+	rows := []struct {
+		name     string
+		sections [2]string
+		want     []string
+	}{
+		{"same section", [2]string{"index.a", "index.a"}, []string{accepted, rejected}},
+		{"different sections", [2]string{"index.a", "index.b"}, []string{accepted, accepted}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			store, reader := document(t)
+			var both, done sync.WaitGroup
+			both.Add(2)
+			var answers [2]string
+			var ids [2]string
+			for i, section := range row.sections {
+				o := newOperator(t, store, "racing")
+				// Both have decided on the same generation before one updates.
+				o.inject(map[string]fault{"put manifest 1": func(*operator, context.Context, func()) error {
+					both.Done()
+					both.Wait()
+					return nil
+				}})
+				doc, err := o.Read(o.ctx)
+				assert.NilError(t, err)
+				edit := o.NewEdit(doc, section, indexText(section[len("index."):], 7010+i))
+				ids[i] = edit.ID
+				done.Go(func() {
+					_, err := o.Apply(o.ctx, doc, edit)
+					answers[i] = answer(err)
+				})
+			}
+			done.Wait()
+			doc, err := reader.Read(context.Background())
+			assert.NilError(t, err)
+			for i, id := range ids {
+				held := slices.ContainsFunc(doc.Manifest.Edits, func(e confsync.Edit) bool { return e.EditID == id })
+				assert.Equal(t, held, answers[i] == accepted)
+			}
+			slices.Sort(answers[:])
+			assert.DeepEqual(t, answers[:], row.want)
+		})
+	}
+}
