Return the slot of an unsent request also when the inbox is full

A request that loses its lease between queue and dispatch is refused, and its slot was returned by an event to the worker's own inbox. A full inbox dropped that event, and the slot stayed taken for ever. The worker now returns the slot itself in the same step. Not covered: a start-by that passes while the request is queued (leafqueue tests it in virtual time) and a deadline that passes while it runs.

--- /dev/null
+++ b/internal/relay/fake_leaf_test.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
+	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/warmup"
+)
+
+// fakeLeaf counts the requests that reach it and does with each what answer
+// says.
+type fakeLeaf struct {
+	medlarv1connect.UnimplementedLeafServiceHandler
+	runs    atomic.Int32
+	started chan struct{}
+	server  *httptest.Server
+	answer  func(ctx context.Context, out *medlarv1.SearchResponse) error
+}
+
+func newFakeLeaf(t *testing.T) *fakeLeaf {
+	f := &fakeLeaf{started: make(chan struct{}, 10)}
+	mux := http.NewServeMux()
+	mux.Handle(medlarv1connect.NewLeafServiceHandler(f))
+	f.server = httptest.NewServer(mux)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fakeLeaf) Search(ctx context.Context, req *connect.Request[medlarv1.SearchRequest]) (*connect.Response[medlarv1.SearchResponse], error) {
+	f.runs.Add(1)
+	f.started <- struct{}{}
+	out := &medlarv1.SearchResponse{BootId: 1, Shard: req.Msg.GetShard(), Snapshot: req.Msg.GetSnapshot()}
+	if f.answer == nil {
+		return connect.NewResponse(out), nil
+	}
+	return connect.NewResponse(out), f.answer(ctx, out)
+}
+
+// grants is the right to send as a row has it.
+type grants struct {
+	fakeLeases
+	held, dispatch bool
+}
+
+func (g *grants) Held(topology.LeafID) bool { return g.held }
+func (g *grants) Dispatch(topology.LeafID, bool) (time.Duration, bool) {
+	return time.Hour, g.dispatch
+}
+
+// rig is a worker whose events a test handles itself, one by one.
+type rig struct {
+	*leafWorker
+	t       *testing.T
+	grants  *grants
+	leaf    *fakeLeaf
+	answers chan *message.LeafReply
+	nextID  uint64
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{
+		t: t, leaf: newFakeLeaf(t), answers: make(chan *message.LeafReply, 2*maxQueued),
+		grants: &grants{fakeLeases: fakeLeases{ended: make(chan topology.LeafID, 2*maxQueued)}, held: true, dispatch: true},
+	}
+	r.leafWorker = testWorker(r.grants)
+	leaf := *r.leafWorker.leaf
+	leaf.Address = strings.TrimPrefix(r.leaf.server.URL, "http://")
+	r.client = newLeafClient(&leaf, 2)
+	t.Cleanup(r.client.close)
+	return r
+}
+
+var pinned = topology.Snapshot{IndexVersion: 3, PartitionGeneration: 2}
+
+// request returns a request that has a minute to start and to run.
+func (r *rig) request() *leafRequest {
+	r.nextID++
+	limit := r.proc.Now() + time.Minute
+	return &leafRequest{
+		id: r.nextID, message: message.LeafRequest{Leaf: "leaf", Op: message.OpSearch},
+		shard: "s", snapshot: pinned, startBy: limit, deadline: limit,
+		answer: func(m *message.LeafReply) { r.answers <- m },
+	}
+}
+
+func (r *rig) take(ev workerEvent) { r.handle(context.Background(), ev) }
+
+// reply returns the only answer that is due.
+func (r *rig) reply() *message.LeafReply {
+	r.t.Helper()
+	assert.Equal(r.t, len(r.answers), 1)
+	return <-r.answers
+}
+
+// occupy lets a request run in the leaf's only slot until it is released.
+func (r *rig) occupy() (release func()) {
+	released := make(chan struct{})
+	release = sync.OnceFunc(func() { close(released) })
+	r.t.Cleanup(release)
+	r.leaf.answer = func(context.Context, *medlarv1.SearchResponse) error { <-released; return nil }
+	r.take(requestArrived{request: r.request()})
+	<-r.leaf.started
+	return release
+}
+
+// warm makes the leaf warm.
+func (r *rig) warm() {
+	for r.tracker.State() != warmup.Warm {
+		r.tracker.Step(0, warmup.Dispatched{})
+		r.tracker.Step(0, warmup.Replied{Latency: time.Nanosecond, Boot: 1})
+	}
+}
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -54,10 +54,12 @@
 	gone   bool
 	status atomic.Pointer[medlarv1.LeafStatus]
 
-	queue     *leafqueue.Queue
-	tracker   *warmup.Tracker
-	requests  map[uint64]*leafRequest
-	running   map[uint64]context.CancelFunc
+	queue    *leafqueue.Queue
+	tracker  *warmup.Tracker
+	requests map[uint64]*leafRequest
+	running  map[uint64]context.CancelFunc
+	// unused holds requests that have a slot and were not sent after all.
+	unused    []uint64
 	probing   bool
 	lastProbe time.Duration
 	facts     message.LeafFacts
@@ -157,8 +159,6 @@
 		w.ended(ctx, ev)
 	case slotFreed:
 		w.step(ctx, leafqueue.Done{ID: ev.id})
-	case slotReturned:
-		w.step(ctx, leafqueue.Done{ID: ev.id})
 	case probeEnded:
 		w.probed(ev)
 		w.step(ctx, leafqueue.Tick{})
@@ -186,6 +186,11 @@
 	w.applyGate(ctx, now)
 	w.apply(ctx, w.queue.Step(now, w.limit(now)))
 	w.apply(ctx, w.queue.Step(now, ev))
+	for len(w.unused) > 0 {
+		id := w.unused[0]
+		w.unused = w.unused[1:]
+		w.apply(ctx, w.queue.Step(now, leafqueue.Done{ID: id}))
+	}
 }
 
 // applyGate closes the queue while the leaf can get no work, so that requests
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -26,7 +26,7 @@
 	now := w.proc.Now()
 	if !ok {
 		w.refuse(leafqueue.Refuse{ID: id, Reason: errs.ReasonCold})
-		w.post(slotReturned{id: id})
+		w.unused = append(w.unused, id)
 		return
 	}
 	if until > 0 {
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -27,9 +27,6 @@
 // frees its slot.
 type slotFreed struct{ id uint64 }
 
-// slotReturned frees the slot of a request that was not sent after all.
-type slotReturned struct{ id uint64 }
-
 // probeEnded brings the leaf's report or a failure.
 type probeEnded struct {
 	report *medlarv1.ReportResponse
@@ -60,7 +57,6 @@
 func (requestCancelled) workerEvent() {}
 func (requestEnded) workerEvent()     {}
 func (slotFreed) workerEvent()        {}
-func (slotReturned) workerEvent()     {}
 func (probeEnded) workerEvent()       {}
 func (accepting) workerEvent()        {}
 func (ranked) workerEvent()           {}
