Tell a write that the store refuses for good from an unknown outcome

Cause: shown by two new rows of TestAnswerMatchesStore. Put now returns ErrRefused for invalid argument, permission denied and unauthenticated, and the edit is rejected at once, or stays unknown if an earlier update is open. Before: both rows fail (accepted instead of rejected and of unknown, since the fake takes the second try), and so does the first new row of platform.TestFaults. Ruled out: codes that a load balancer in front of the store may give after the write was passed on; unavailable, internal, aborted and deadline exceeded stay unknown.

--- a/internal/editor/editor.go
+++ b/internal/editor/editor.go
@@ -91,7 +91,7 @@
 		}
 		outcome, err := e.putManifest(ctx, doc, next, edit)
 		if err != nil {
-			return 0, err
+			return 0, failure(open, err)
 		}
 		if final(outcome) {
 			return report(outcome, edit)
@@ -113,7 +113,7 @@
 
 // failure returns the error of an edit that is given up.
 func failure(open bool, err error) error {
-	if open {
+	if open && !errors.Is(err, ErrUnknown) {
 		return errors.WithMessage(ErrUnknown, err.Error())
 	}
 	return err
@@ -162,6 +162,9 @@
 	if err == nil {
 		return configedit.Outcome{Verdict: configedit.Accepted, Generation: next.Generation}, nil
 	}
+	if errors.Is(err, platform.ErrRefused) {
+		return configedit.Outcome{}, err
+	}
 	return e.settle(ctx, doc, edit)
 }
 
--- a/internal/editor/editor_test.go
+++ b/internal/editor/editor_test.go
@@ -58,6 +58,8 @@
 		{name: "section: refused", faults: map[string]fault{"put section 1": refuse}, want: rejected},
 		{name: "section: applied, store down", faults: map[string]fault{"put section 1": lose, "get section 1": down}, want: rejected},
 		{name: "manifest: refused", faults: map[string]fault{"put manifest 1": refuse}, want: accepted, generation: 4},
+		{name: "manifest: refused for good", faults: map[string]fault{"put manifest 1": forbid}, want: rejected},
+		{name: "manifest: unanswered, then refused for good", faults: map[string]fault{"put manifest 1": hold, "put manifest 2": forbid}, want: unknown},
 		{name: "manifest: reply lost", faults: map[string]fault{"put manifest 1": lose}, want: accepted, generation: 4},
 		{name: "manifest: reply lost, read refused", faults: map[string]fault{"put manifest 1": lose, "get manifest 1": refuse}, want: accepted, generation: 4},
 		{name: "manifest: reply lost, store down", faults: map[string]fault{"put manifest 1": lose, "get manifest 1": down}, want: unknown},
--- a/internal/editor/fake_test.go
+++ b/internal/editor/fake_test.go
@@ -103,6 +103,12 @@
 	return connect.NewError(connect.CodeUnavailable, errors.New("503"))
 }
 
+// forbid refuses a write for good; a try again would be accepted, so that the
+// test sees it.
+func forbid(*operator, context.Context, func()) error {
+	return connect.NewError(connect.CodePermissionDenied, errors.New("403"))
+}
+
 func lose(_ *operator, _ context.Context, apply func()) error {
 	apply()
 	panic(http.ErrAbortHandler)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
 	"github.com/medlarswitch/medlarswitch/gen/medlar/v1/medlarv1connect"
@@ -48,20 +49,24 @@
 }
 
 // Put writes an object if it still has the given version; 0 creates it. A
-// failure other than ErrConflict does not tell whether the write was applied.
+// failure other than ErrConflict and ErrRefused does not tell whether the write
+// was applied.
 func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := c.store.Put(ctx, connect.NewRequest(&medlarv1.PutRequest{
 		Key: key, Value: value, IfVersion: ifVersion, Team: c.team,
 	}))
-	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
-		return 0, ErrConflict
+	if err == nil {
+		return resp.Msg.GetVersion(), nil
 	}
-	if err != nil {
-		return 0, c.wrap(err)
+	switch connect.CodeOf(err) {
+	case connect.CodeFailedPrecondition:
+		return 0, ErrConflict
+	case connect.CodeInvalidArgument, connect.CodePermissionDenied, connect.CodeUnauthenticated:
+		return 0, errs.Wrap(errors.WithMessage(ErrRefused, err.Error()), errs.StepStore, c.url, errs.ReasonInvalid, true)
 	}
-	return resp.Msg.GetVersion(), nil
+	return 0, c.wrap(err)
 }
 
 // Watch returns an object when its version differs from the given one, or
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -83,10 +83,12 @@
 	rows := map[string]struct {
 		fail   func() error
 		reason errs.Reason
-		// conflict is true if a put with this fault was certainly not applied.
-		conflict bool
+		// put is what a put with this fault gives, if it was certainly not applied.
+		put error
 	}{
-		"other version":   {fail: code(connect.CodeFailedPrecondition), reason: errs.ReasonConnectionLost, conflict: true},
+		"other version":   {fail: code(connect.CodeFailedPrecondition), reason: errs.ReasonConnectionLost, put: ErrConflict},
+		"refused":         {fail: code(connect.CodePermissionDenied), reason: errs.ReasonConnectionLost, put: ErrRefused},
+		"too large":       {fail: code(connect.CodeInvalidArgument), reason: errs.ReasonConnectionLost, put: ErrRefused},
 		"503":             {fail: code(connect.CodeUnavailable), reason: errs.ReasonConnectionLost},
 		"500":             {fail: code(connect.CodeInternal), reason: errs.ReasonConnectionLost},
 		"late":            {fail: code(connect.CodeDeadlineExceeded), reason: errs.ReasonDeadline},
@@ -98,13 +100,13 @@
 			c, _ := serve(t, row.fail)
 			version, err := call(context.Background(), c)
 			assert.Equal(t, version, uint64(0))
-			if row.conflict && method == "put" {
-				assert.Assert(t, errors.Is(err, ErrConflict), "%v", err)
+			if row.put != nil && method == "put" {
+				assert.Assert(t, errors.Is(err, row.put), "%v", err)
 				continue
 			}
 			var e *errs.Error
 			assert.Assert(t, errors.As(err, &e), "%s of %s: %v", name, method, err)
-			assert.Assert(t, !errors.Is(err, ErrConflict) && !e.NotRun)
+			assert.Assert(t, !errors.Is(err, ErrConflict) && !errors.Is(err, ErrRefused) && !e.NotRun)
 			assert.Equal(t, e.Reason, row.reason, "%s of %s", name, method)
 			assert.Equal(t, e.Step, errs.StepStore)
 			assert.Equal(t, e.Peer, c.url)
--- a/internal/platform/object.go
+++ b/internal/platform/object.go
@@ -11,3 +11,7 @@
 // ErrConflict means that a conditional write found another version and was
 // not applied.
 var ErrConflict = errors.New("object has another version")
+
+// ErrRefused means that the store does not take a write, for its size or the
+// team's credentials, and that it was not applied.
+var ErrRefused = errors.New("write refused")
