--- a/internal/relay/fake_leaf_test.go
+++ b/internal/relay/fake_leaf_test.go
@@ -78,7 +78,7 @@
 	r.leafWorker = testWorker(r.grants)
 	leaf := *r.leafWorker.leaf
 	leaf.Address = strings.TrimPrefix(r.leaf.server.URL, "http://")
-	r.client = newLeafClient(&leaf, 2)
+	r.client = newLeafClient(&leaf, 2, func(uint64) {})
 	t.Cleanup(r.client.close)
 	return r
 }
