--- a/cmd/medlar-load/cost.go
+++ b/cmd/medlar-load/cost.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -29,9 +30,12 @@
 func costCommand() *cli.Command {
 	return &cli.Command{
 		Name: "cost", Usage: "measure the processor time per query by its number of leaves",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the programs"}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the programs"},
+			&cli.IntSliceFlag{Name: "fan-out", Value: standin.FanOuts, Usage: "`NUMBER` of leaves per query, one of 10, 50 and 170; may be repeated"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return cost(ctx, c.String("bin"))
+			return cost(ctx, c.String("bin"), c.IntSlice("fan-out"))
 		},
 	}
 }
@@ -45,7 +49,12 @@
 	direct  time.Duration
 }
 
-func cost(ctx context.Context, bin string) error {
+func cost(ctx context.Context, bin string, fanOuts []int) error {
+	for _, n := range fanOuts {
+		if !slices.Contains(standin.FanOuts, n) {
+			return fmt.Errorf("fan-out %d is not one of %v", n, standin.FanOuts)
+		}
+	}
 	dir, err := os.MkdirTemp("", "medlar-cost-")
 	if err != nil {
 		return err
@@ -63,7 +72,7 @@
 		return err
 	}
 	var rows []costRow
-	for _, n := range standin.FanOuts {
+	for _, n := range fanOuts {
 		row, err := measure(ctx, cluster, n)
 		if err != nil {
 			return err
