--- a/internal/slopes/message_bench_test.go
+++ b/internal/slopes/message_bench_test.go
@@ -47,7 +47,8 @@
 	b.ReportMetric(float64(size), "frame-B")
 }
 
-// mustFrame encodes a message as a peer does and decodes it again.
+// mustFrame encodes a message to the bytes that a peer writes, by reflection, and
+// decodes it again.
 func mustFrame(b *testing.B, body any) []byte {
 	env := wire.Envelope{
 		ID: 1 << 62, Kind: wire.KindPing, Shard: "finder-017-042",
