--- a/internal/relay/leaf_client.go
+++ b/internal/relay/leaf_client.go
@@ -24,6 +24,9 @@
 	// connection used last alive and tests it.
 	idleConnTimeout = 5 * time.Second
 	probeTimeout    = 900 * time.Millisecond
+
+	// gzipName is the compression that a Connect client accepts by default.
+	gzipName = "gzip"
 )
 
 // errUnchecked refuses a new connection for a request while the leaf may have
@@ -52,8 +55,15 @@
 	c.transport = &http.Transport{
 		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
 		IdleConnTimeout: idleConnTimeout, DialContext: c.dial,
+		// A leaf is in the relay's zone, where bytes cost less than the
+		// compression of a reply of a few hundred of them. Both the transport
+		// and the Connect client ask for gzip by default.
+		DisableCompression: true,
 	}
-	c.rpc = medlarv1connect.NewLeafServiceClient(&http.Client{Transport: c.transport}, "http://"+leaf.Address)
+	c.rpc = medlarv1connect.NewLeafServiceClient(
+		&http.Client{Transport: c.transport}, "http://"+leaf.Address,
+		connect.WithAcceptCompression(gzipName, nil, nil),
+	)
 	return c
 }
 
