Answer a search that runs in a leaf on trial before its deadline

Cause: a silent leaf gets a trial every few seconds. The query of a trial waited for it until its own deadline, because hedges do not go to leaves that are not warm, although another replica could have answered. Ruled out: fewer trials (the leaf would come back later), and giving up the requests of leaves that are not on trial (in a cold start a late reply is worth the wait). Change: once a leaf on trial has been silent for too long, its relay answers the searches that run there with upstream-no-reply, which a query may retry elsewhere. Their slots stay held until they have ended. Executions are waited for.

--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -125,6 +125,7 @@
 		if w.retiring && len(w.requests) == 0 && w.end() {
 			return
 		}
+		w.answerTrials(w.proc.Now())
 		w.probeIfDue(ctx)
 		w.tell()
 		w.storeStatus()
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -58,7 +58,9 @@
 	w.transitions(w.tracker.Step(now, outcomeEvent(&ev.result)))
 	w.metrics.ended(&ev.result)
 	w.record(req, &ev.result)
-	req.answer(w.reply(req, &ev.result))
+	if !req.answered {
+		req.answer(w.reply(req, &ev.result))
+	}
 	if ev.result.err == nil || ev.result.err.NotRun {
 		w.leases.Ended(w.leaf.ID)
 		w.step(ctx, leafqueue.Done{ID: ev.id})
--- a/internal/relay/worker_event.go
+++ b/internal/relay/worker_event.go
@@ -81,6 +81,8 @@
 	// startBy and deadline are on the relay's monotonic clock.
 	startBy  time.Duration
 	deadline time.Duration
+	// answered is true when the entry has its answer although the request runs.
+	answered bool
 	// answer sends the reply to the entry; it is called exactly once.
 	answer func(*message.LeafReply)
 }
--- /dev/null
+++ b/internal/relay/worker_trial.go
@@ -0,0 +1,29 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
+)
+
+// answerTrials answers the searches that run in a leaf on trial once the leaf
+// has been silent for too long, so that their queries can still ask another
+// replica. Their slots stay held. The outcome of an execution is waited for.
+func (w *leafWorker) answerTrials(now time.Duration) {
+	from, running := w.tracker.SilentFrom()
+	if !w.tracker.OnTrial() || !running || now < from {
+		return
+	}
+	for id := range w.running {
+		req := w.requests[id]
+		if req == nil || req.answered || req.message.Op != message.OpSearch {
+			continue
+		}
+		req.answered = true
+		err := errs.New(errs.StepLeafCall, string(w.leaf.ID), errs.ReasonNoReply, false, "no reply in time, as to the request before")
+		w.proc.Events.Add(timeline.KindLeafFailed, req.message.RequestID, string(w.leaf.ID), err.Error())
+		req.answer(failedReply(req, err))
+	}
+}
--- /dev/null
+++ b/internal/relay/worker_trial_test.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/warmup"
+)
+
+// Guards against a query that waits until its deadline for a leaf that did not
+// reply to the request before either, against an answer given twice, and
+// against an execution that is given up while it runs.
+func TestTrialIsAnsweredWhileItRuns(t *testing.T) {
+	r := newRig(t)
+	release := r.occupy()
+	defer release()
+	r.answerTrials(r.proc.Now() + time.Minute)
+	assert.Equal(t, len(r.answers), 0, "the leaf is not on trial")
+
+	began := r.proc.Now()
+	r.tracker.Step(began, warmup.Dispatched{})
+	r.tracker.Step(began+time.Minute, warmup.TimedOut{})
+	from, running := r.tracker.SilentFrom()
+	assert.Assert(t, running)
+	r.answerTrials(from - 1)
+	assert.Equal(t, len(r.answers), 0, "the leaf may still reply")
+	for id := range r.running {
+		r.requests[id].message.Op = message.OpExecute
+	}
+	r.answerTrials(from)
+	assert.Equal(t, len(r.answers), 0, "the outcome of an execution is waited for")
+	for id := range r.running {
+		r.requests[id].message.Op = message.OpSearch
+	}
+	r.answerTrials(from)
+	answer := r.reply()
+	assert.Equal(t, answer.Failure.Reason, errs.ReasonNoReply)
+	assert.Assert(t, !answer.Failure.NotRun)
+	assert.Equal(t, r.queue.Running(), 1, "the slot is held")
+
+	release()
+	r.handle(context.Background(), <-r.inbox)
+	assert.Equal(t, len(r.answers), 0, "answered twice")
+	assert.Equal(t, r.queue.Running(), 0)
+}
