Check that a failed owner's cold leaf gets no load within the fence

Cause: TestColdLeafOfFailedOwner passed also without the lease checks: the owner had no request in the leaf by the time its successor sent the first one, so that no overload showed. The lease was proved by the property test only. Change: the successor's first start must come no sooner than the lease, its margin and the run limit after the fault (4.5 s), which the design states.

--- a/test/process/coldstart_test.go
+++ b/test/process/coldstart_test.go
@@ -20,6 +20,9 @@
 	// leaseEnd is after the last start under a lease of a frozen relay:
 	// leaseTerm less clockMargin, with room for the look at the counters.
 	leaseEnd = 2 * time.Second
+	// fenceDelay is how long a cold leaf of a failed owner gets no load: the
+	// lease and its clock margin, and the run limit of a request.
+	fenceDelay = 4500 * time.Millisecond
 )
 
 // startCluster runs Valdivia's installation with its configuration in force.
@@ -132,6 +135,8 @@
 	leaf   string
 	owners []int
 	at     time.Time
+	// started is when the leaf started its last request, counted from at.
+	started time.Duration
 }
 
 // failOwners brings a leaf of each zone to a cold start under its owner's
@@ -159,11 +164,12 @@
 }
 
 // startedAfter gives an error until the leaf starts a request after the
-// owner's lease has ended.
+// owner's lease has ended, and notes when it did.
 func (v *victim) startedAfter(c *harness.Cluster) error {
 	s, err := c.LeafStats(v.leaf)
-	if err == nil && time.UnixMilli(s.LastWorkUnixMS).Before(v.at.Add(leaseEnd)) {
-		return errors.Errorf("%s: last start %s after the fault", v.leaf, time.UnixMilli(s.LastWorkUnixMS).Sub(v.at))
+	v.started = time.UnixMilli(s.LastWorkUnixMS).Sub(v.at)
+	if err == nil && v.started < leaseEnd {
+		return errors.Errorf("%s: last start %s after the fault", v.leaf, v.started)
 	}
 	return err
 }
@@ -178,7 +184,8 @@
 	victims := failOwners(ctx, t, c)
 	for _, v := range victims {
 		assert.NilError(t, harness.Wait(ctx, "the successor", func() error { return v.startedAfter(c) }))
-		t.Logf("%s: successor serves %s after %s", v.zone, time.Since(v.at).Round(time.Second/10), v.signal)
+		t.Logf("%s: successor serves %s after %s", v.zone, v.started.Round(time.Second/10), v.signal)
+		assert.Assert(t, v.started >= fenceDelay, "%s: a request of the owner may still run after %s", v.leaf, v.started)
 	}
 	for _, v := range victims {
 		if v.signal == syscall.SIGSTOP {
