--- a/internal/entry/query_run.go
+++ b/internal/entry/query_run.go
@@ -18,6 +18,12 @@
 const (
 	maxAttempts = 3
 	maxRestarts = 1
+	// replanWait is how long a query waits for a newer snapshot to restart on.
+	// A relay probes a leaf that has dropped a version at once, and its entries
+	// know of the newer one within some 50 ms.
+	replanWait = 200 * time.Millisecond
+	// replanInterval is the time between looks for a newer snapshot.
+	replanInterval = 10 * time.Millisecond
 	// maxHits bounds an answer; the highest scores are kept.
 	maxHits = 1000
 )
@@ -107,7 +113,7 @@
 
 func (r *queryRun) apply(ctx context.Context, actions []query.Action) {
 	replan := false
-	var newer topology.Snapshot
+	var old topology.Snapshot
 	for _, a := range actions {
 		switch a := a.(type) {
 		case query.Send:
@@ -119,7 +125,7 @@
 		case query.Discard:
 			r.hits = r.hits[:0]
 		case query.Replan:
-			replan, newer = true, a.NewerThan
+			replan, old = true, a.NewerThan
 		case query.WakeAt:
 			r.timer.Reset(max(a.At-r.server.proc.Now(), 0))
 		case query.Finish:
@@ -128,17 +134,30 @@
 		}
 	}
 	if replan {
-		r.replan(ctx, newer)
+		r.replan(old)
 	}
 }
 
-// replan answers the machine's request for a newer snapshot from the current
-// view.
-func (r *queryRun) replan(ctx context.Context, newer topology.Snapshot) {
+// replan answers the machine's request for a newer snapshot. Replies go on
+// being merged meanwhile.
+func (r *queryRun) replan(old topology.Snapshot) {
 	r.server.proc.Events.Add(timeline.KindRestart, r.id, string(r.class.Index), "")
-	plan, err := planFor(r.server.view.Load(), r.class)
-	ok := err == nil && plan.Snapshot != newer
-	r.apply(ctx, r.machine.Step(r.server.proc.Now(), query.Replanned{Plan: plan, OK: ok}, r.budget))
+	go func() {
+		until := r.server.proc.Now() + replanWait
+		for {
+			plan, err := planFor(r.server.view.Load(), r.class)
+			ok := err == nil && plan.Snapshot != old
+			if ok || r.server.proc.Now() >= until {
+				r.post(query.Replanned{Plan: plan, OK: ok})
+				return
+			}
+			select {
+			case <-time.After(replanInterval):
+			case <-r.done:
+				return
+			}
+		}
+	}()
 }
 
 func (r *queryRun) send(ctx context.Context, a query.Send) {
--- a/internal/relay/leaf_result.go
+++ b/internal/relay/leaf_result.go
@@ -22,3 +22,11 @@
 	// unsent is true when nothing of the request was written.
 	unsent bool
 }
+
+// retired reports whether the leaf no longer serves the snapshot of a search.
+func (r *leafResult) retired(pinned topology.Snapshot) bool {
+	if r.err != nil {
+		return r.err.Reason == errs.ReasonVersionRetired
+	}
+	return r.result == nil && r.snapshot != pinned
+}
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -62,8 +62,10 @@
 	unused    []uint64
 	probing   bool
 	lastProbe time.Duration
-	facts     message.LeafFacts
-	told      message.LeafFacts
+	// outdated is true when a leaf no longer serves what its report says.
+	outdated bool
+	facts    message.LeafFacts
+	told     message.LeafFacts
 	// peerSaid holds the last facts of each other relay.
 	peerSaid map[topology.VMID]peerFacts
 	wanted   bool
--- a/internal/relay/worker_dispatch.go
+++ b/internal/relay/worker_dispatch.go
@@ -58,6 +58,7 @@
 	w.transitions(w.tracker.Step(now, outcomeEvent(&ev.result)))
 	w.metrics.ended(&ev.result)
 	w.record(req, &ev.result)
+	w.outdated = w.outdated || ev.result.retired(req.snapshot)
 	if !req.answered {
 		req.answer(w.reply(req, &ev.result))
 	}
--- a/internal/relay/worker_health.go
+++ b/internal/relay/worker_health.go
@@ -14,11 +14,11 @@
 // probeIfDue asks the leaf for its report in the background.
 func (w *leafWorker) probeIfDue(ctx context.Context) {
 	now := w.proc.Now()
-	due := w.lastProbe == 0 || now-w.lastProbe >= probeInterval || w.tracker.ProbeDue(now)
+	due := w.lastProbe == 0 || now-w.lastProbe >= probeInterval || w.outdated || w.tracker.ProbeDue(now)
 	if w.probing || !due {
 		return
 	}
-	w.probing = true
+	w.probing, w.outdated = true, false
 	w.lastProbe = now
 	go func() {
 		report, closed, err := w.client.probe(ctx)
--- /dev/null
+++ b/internal/relay/worker_outdated_test.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+// Guards against entries that keep choosing a version which a leaf has dropped,
+// until its next regular probe.
+func TestDroppedVersionMakesAProbeDue(t *testing.T) {
+	other := topology.Snapshot{IndexVersion: pinned.IndexVersion + 1, PartitionGeneration: pinned.PartitionGeneration}
+	rows := []struct {
+		name   string
+		result leafResult
+		due    bool
+	}{
+		{"served", leafResult{snapshot: pinned}, false},
+		{"refused", leafResult{err: errs.New(errs.StepLeafCall, "leaf", errs.ReasonVersionRetired, true, "dropped")}, true},
+		{"answered from another version", leafResult{snapshot: other}, true},
+		{"shed", leafResult{err: errs.New(errs.StepLeafCall, "leaf", errs.ReasonShed, true, "busy")}, false},
+		{"executed", leafResult{result: []byte("done")}, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			r := newRig(t)
+			release := r.occupy()
+			defer release()
+			r.take(requestEnded{id: r.nextID, result: row.result})
+			assert.Equal(t, r.outdated, row.due)
+		})
+	}
+}
--- a/internal/standin/leaf.go
+++ b/internal/standin/leaf.go
@@ -97,8 +97,13 @@
 	if err := l.work(ctx, req.Msg.GetText()); err != nil {
 		return nil, err
 	}
+	if !l.serves(snap) {
+		// The version was dropped while the request ran: the leaf answers
+		// from what it has now, and says so.
+		snap = l.newest()
+	}
 	return connect.NewResponse(&medlarv1.SearchResponse{
-		Shard: l.cfg.Shard, Snapshot: snap, BootId: l.bootID(), Hits: l.hits(),
+		Shard: l.cfg.Shard, Snapshot: snap, BootId: l.bootID(), Hits: l.hits(snap.GetIndexVersion()),
 	}), nil
 }
 
@@ -158,11 +163,12 @@
 	return ctx.Err()
 }
 
-func (l *Leaf) hits() []*medlarv1.Hit {
+// hits returns results whose keys end with the index version.
+func (l *Leaf) hits(version uint64) []*medlarv1.Hit {
 	hits := make([]*medlarv1.Hit, l.cfg.Hits)
 	for i := range hits {
 		hits[i] = &medlarv1.Hit{
-			Key: fmt.Sprintf("%s/%d", l.cfg.Shard, i), Score: 1 / float64(i+1), Shard: l.cfg.Shard,
+			Key: fmt.Sprintf("%s/%d@%d", l.cfg.Shard, i, version), Score: 1 / float64(i+1), Shard: l.cfg.Shard,
 		}
 	}
 	return hits
--- a/internal/standin/leaf_run.go
+++ b/internal/standin/leaf_run.go
@@ -93,6 +93,15 @@
 		slices.Contains(l.cfg.IndexVersions, s.GetIndexVersion())
 }
 
+// newest returns the latest snapshot that the leaf serves.
+func (l *Leaf) newest() *medlarv1.Snapshot {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &medlarv1.Snapshot{
+		IndexVersion: slices.Max(l.cfg.IndexVersions), PartitionGeneration: l.cfg.PartitionGeneration,
+	}
+}
+
 func (l *Leaf) countRun(requestID string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
