Keep the ranks of relays instead of ranking them for each leaf request

The entry ranked all VMs of a leaf's zone for each leaf request to find its two relays: 5% of the entry's processor time with 2 VMs (CPU profile at a fan-out of 170), and more with each VM. At the design target a zone has 267 VMs. The ranks are now kept per leaf until the VM list or the configuration changes; the order with relays that drain is still made for each request. Ruled out: ranks in the plans, which would not cover submits, and ranks ahead of time, which would cost each new VM list 110,160 rankings.

Not measured under load.

--- a/internal/entry/slopes_bench_test.go
+++ b/internal/entry/slopes_bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +57,26 @@
 	}
 }
 
+// BenchmarkRelays looks up the relays of a leaf, which each request does.
+func BenchmarkRelays(b *testing.B) {
+	for _, s := range slopes.Sizes() {
+		b.Run(s.Name, func(b *testing.B) {
+			topo, problems := servicedoc.Check(slopes.Document(s))
+			if err := problems.Err(); err != nil {
+				b.Fatal(err)
+			}
+			builder := newViewBuilder("vm-00000", "zone-0", noHedges{}, func() time.Duration { return 0 }, func(*view) {})
+			builder.takeTopology(topo)
+			builder.takeVMs(slopes.VMList(s))
+			leaves := slices.Collect(maps.Values(topo.Leaves))[:10]
+			b.ResetTimer()
+			for n := range b.N {
+				builder.current.relays(leaves[n%len(leaves)])
+			}
+		})
+	}
+}
+
 // BenchmarkTakeFacts stores a repeated report that says nothing new.
 func BenchmarkTakeFacts(b *testing.B) {
 	s := slopes.Sizes()[1]
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"github.com/medlarswitch/medlarswitch/internal/ownership"
 	"github.com/medlarswitch/medlarswitch/internal/query"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
@@ -13,6 +12,8 @@
 	indexes  map[topology.IndexID]*indexView
 	// zoneVMs holds the VMs of each zone, to rank relays.
 	zoneVMs map[topology.Zone][]topology.VM
+	// owners keeps the ranks of zoneVMs.
+	owners *ownerTable
 	// draining holds the relays that are about to stop.
 	draining map[topology.VMID]bool
 }
@@ -29,12 +30,12 @@
 // relays returns the frame addresses of a leaf's relays, rank 1 first and those
 // that are about to stop last.
 func (v *view) relays(leaf *topology.Leaf) []string {
-	owners := ownership.Owners(leaf.ID, v.zoneVMs[leaf.Zone])
+	owners := v.owners.get(leaf.ID, v.zoneVMs[leaf.Zone])
 	out := make([]string, 0, len(owners))
 	for _, last := range []bool{false, true} {
-		for _, vm := range owners {
-			if v.draining[vm.ID] == last {
-				out = append(out, vm.RelayAddress)
+		for _, o := range owners {
+			if v.draining[o.vm] == last {
+				out = append(out, o.address)
 			}
 		}
 	}
@@ -42,5 +43,5 @@
 }
 
 func emptyView() *view {
-	return &view{indexes: map[topology.IndexID]*indexView{}, zoneVMs: map[topology.Zone][]topology.VM{}}
+	return &view{indexes: map[topology.IndexID]*indexView{}, zoneVMs: map[topology.Zone][]topology.VM{}, owners: newOwnerTable()}
 }
--- a/internal/entry/view_builder.go
+++ b/internal/entry/view_builder.go
@@ -100,6 +100,7 @@
 	b.retain(t)
 	next := *b.current
 	next.topology = t
+	next.owners = newOwnerTable()
 	b.current = &next
 	b.table.keepOnly(t)
 	b.markAll()
@@ -112,6 +113,7 @@
 	}
 	next := *b.current
 	next.vms = vms
+	next.owners = newOwnerTable()
 	next.zoneVMs = make(map[topology.Zone][]topology.VM)
 	for _, vm := range vms.VMs {
 		next.zoneVMs[vm.Zone] = append(next.zoneVMs[vm.Zone], vm)
