--- /dev/null
+++ b/internal/measure/connection_wait_test.go
@@ -0,0 +1,78 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// connections is one leaf whose requests need an open connection and a slot.
+type connections struct {
+	loop  loop
+	rng   *rand.Rand
+	run   time.Duration
+	setup time.Duration
+	// open may grow to limit.
+	open, limit, opening, running int
+	queue                         []time.Duration
+	waits                         []time.Duration
+}
+
+const waitSlots = 2
+
+func (c *connections) arrive() {
+	c.queue = append(c.queue, c.loop.now)
+	if len(c.queue) > c.open-c.running+c.opening && c.open+c.opening < c.limit {
+		c.opening++
+		c.loop.after(c.setup, func() { c.opening--; c.open++; c.start() })
+	}
+	c.start()
+}
+
+func (c *connections) start() {
+	for len(c.queue) > 0 && c.running < min(c.open, waitSlots) {
+		c.waits = append(c.waits, c.loop.now-c.queue[0])
+		c.queue = c.queue[1:]
+		c.running++
+		took := time.Duration(float64(c.run) * (0.8 + 0.4*c.rng.Float64()))
+		c.loop.after(took, func() { c.running--; c.start() })
+	}
+}
+
+// waitP99 returns the 99th percentile of the time before a request starts, over
+// 20,000 Poisson arrivals at a share of the leaf's capacity. After each run of
+// 200 requests the connections are back at open, as after an idle time.
+func waitP99(group [2]time.Duration, open, limit int, load float64) time.Duration {
+	c := &connections{rng: rand.New(rand.NewPCG(1, 1)), run: group[0], setup: group[1]}
+	mean := float64(group[0]) / waitSlots / load
+	for range 100 {
+		c.open, c.limit = open, limit
+		at := c.loop.now + time.Second
+		for range 200 {
+			at += time.Duration(c.rng.ExpFloat64() * mean)
+			c.loop.at(at, c.arrive)
+		}
+		c.loop.runUntil(at + time.Second)
+	}
+	slices.Sort(c.waits)
+	return c.waits[len(c.waits)*99/100]
+}
+
+// Guards against fewer open connections than a leaf has slots, which makes
+// requests queue for a connection while a slot is free, and shows that more of
+// them gain nothing: with a connection per slot the slots are what is waited for.
+func TestWaitForAConnection(t *testing.T) {
+	for _, group := range [][2]time.Duration{{12 * time.Millisecond, 6 * time.Millisecond}, {4 * time.Millisecond, time.Millisecond}} {
+		for _, load := range []float64{0.3, 0.6, 0.9} {
+			queued, opened := waitP99(group, 1, 1, load/2), waitP99(group, 1, 6, load/2)
+			kept, more := waitP99(group, 2, 2, load), waitP99(group, 2, 6, load)
+			t.Logf("run %v, new connection %v, load %.1f: p99 wait, 1 open at half the load: queue on it %v, open more %v; 2 open: queue on them %v, open more %v",
+				group[0], group[1], load, queued, opened, kept, more)
+			assert.Assert(t, opened < queued, "a free slot is not used")
+			assert.Assert(t, more == kept, "connections above the slots change the wait")
+		}
+	}
+}
