Use one event loop in virtual time for the bench and both simulations

Cause: the tests of coldlease and of confsync each had an event heap of their own beside the loop of the policy bench: the same order by time and creation. Change: the bench's loop is the package eventloop, and all three use it. Ruled out: indexheap, which takes items out again and has no time.

--- a/internal/coldlease/property_test.go
+++ b/internal/coldlease/property_test.go
@@ -35,10 +35,10 @@
 	r, other := s.relays[f.Relay%len(s.relays)], s.relays[f.Other%len(s.relays)]
 	switch f.Kind {
 	case "pause":
-		r.pausedUntil = max(r.pausedUntil, s.now+f.For)
+		r.pausedUntil = max(r.pausedUntil, s.Now+f.For)
 	case "restart":
 		r.alive = false
-		s.after(f.For/2, r.start)
+		s.After(f.For/2, r.start)
 	case "replace":
 		s.replace(r, f.For)
 	case "cut":
@@ -62,13 +62,13 @@
 		return
 	}
 	r.alive, r.gone = false, true
-	s.after(s.random(d/4), func() { s.dropVM(r.vm) })
-	s.after(s.random(d/2), func() { s.addVM(s.random(d / 4)).wanted = r.wanted })
+	s.After(s.random(d/4), func() { s.dropVM(r.vm) })
+	s.After(s.random(d/2), func() { s.addVM(s.random(d / 4)).wanted = r.wanted })
 }
 
 func (s *sim) cutLink(a, b topology.VMID, d time.Duration) {
 	for _, pair := range [][2]topology.VMID{{a, b}, {b, a}} {
-		s.cut[pair] = max(s.cut[pair], s.now+d)
+		s.cut[pair] = max(s.cut[pair], s.Now+d)
 	}
 }
 
@@ -88,7 +88,7 @@
 			s.addVM(s.random(time.Second)).wanted = i < 2
 		}
 		for _, f := range rapid.SliceOfN(rapid.Custom(drawFault), 0, 16).Draw(t, "faults") {
-			s.after(f.At, func() { s.inject(f) })
+			s.After(f.At, func() { s.inject(f) })
 		}
 		s.runUntil(60 * time.Second)
 		starts, evicted, late, runs = starts+s.starts, evicted+s.evicted, late+s.late, runs+1
@@ -120,6 +120,6 @@
 				held++
 			}
 		}
-		assert.Equal(t, held, 1, "holders after %v", s.now)
+		assert.Equal(t, held, 1, "holders after %v", s.Now)
 	})
 }
--- a/internal/coldlease/relay_test.go
+++ b/internal/coldlease/relay_test.go
@@ -40,22 +40,22 @@
 
 // clock is the monotonic clock of the process.
 func (r *relay) clock() time.Duration {
-	return r.offset + time.Duration(float64(r.s.now-r.startedAt)*r.rate)
+	return r.offset + time.Duration(float64(r.s.Now-r.startedAt)*r.rate)
 }
 
 // in runs f when the process's clock shows a time, unless the boot has ended.
 func (r *relay) in(clock time.Duration, f func()) {
 	boot := r.boot
 	d := time.Duration(float64(clock-r.clock())/r.rate) + time.Microsecond
-	r.s.after(max(d, 0), func() { r.whenRunning(boot, f) })
+	r.s.After(max(d, 0), func() { r.whenRunning(boot, f) })
 }
 
 // whenRunning runs f now or after the pause, if the boot still runs then.
 func (r *relay) whenRunning(boot topology.BootID, f func()) {
 	switch {
 	case !r.alive || r.boot != boot:
-	case r.s.now < r.pausedUntil:
-		r.s.after(r.pausedUntil-r.s.now, func() { r.whenRunning(boot, f) })
+	case r.s.Now < r.pausedUntil:
+		r.s.After(r.pausedUntil-r.s.Now, func() { r.whenRunning(boot, f) })
 	default:
 		f()
 	}
@@ -66,7 +66,7 @@
 		return
 	}
 	r.s.boots++
-	r.alive, r.boot, r.startedAt, r.pausedUntil = true, r.s.boots, r.s.now, 0
+	r.alive, r.boot, r.startedAt, r.pausedUntil = true, r.s.boots, r.s.Now, 0
 	r.offset = r.s.random(time.Hour)
 	r.rate = 0.99 + 0.02*r.s.rng.Float64()
 	r.wall = r.s.random(498*ms) - 249*ms
@@ -101,7 +101,7 @@
 	r.step(EvictionsRead{Evictions: r.s.evictions, Version: r.s.evictionsVersion})
 	if r.machine.Evicted() {
 		r.alive = false
-		r.s.after(0, r.start)
+		r.s.After(0, r.start)
 		return
 	}
 	r.in(r.clock()+r.s.random(2*time.Second), r.readStore)
@@ -160,15 +160,15 @@
 	r.machine.Step(now, Dispatched{Leaf: testLeaf})
 	r.tracker.Step(now, warmup.Dispatched{})
 	r.open[id] = true
-	wallStartBy := r.s.now + r.wall + startBy - now
+	wallStartBy := r.s.Now + r.wall + startBy - now
 	write := r.s.random(r.s.maxDelay)
 	if r.s.slow > 0 && r.s.rng.Intn(8) == 0 {
 		write = r.s.random(4 * time.Second)
 		if r.s.rng.Intn(2) == 0 {
-			r.pausedUntil = r.s.now + write
+			r.pausedUntil = r.s.Now + write
 		}
 	}
-	r.s.after(write, func() { r.s.arrive(r, boot, id, wallStartBy) })
+	r.s.After(write, func() { r.s.arrive(r, boot, id, wallStartBy) })
 	r.in(r.machine.GoneBy(startBy, r.s.runLimit), func() { r.ended(id, warmup.TimedOut{}) })
 }
 
--- a/internal/coldlease/sim_test.go
+++ b/internal/coldlease/sim_test.go
@@ -1,12 +1,12 @@
 package coldlease
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"slices"
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/eventloop"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
@@ -17,36 +17,12 @@
 	testSlack = 500 * ms // Margin of all machines
 )
 
-// timer is an event of the simulation in true time.
-type timer struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type timers []timer
-
-func (h timers) Len() int { return len(h) }
-func (h timers) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timers) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timers) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 // sim runs the relays of one zone and one cold leaf in virtual time. All
 // randomness besides the drawn faults comes from rng, so a seed repeats a run.
 type sim struct {
+	eventloop.Loop
 	fail     func(format string, args ...any)
 	rng      *rand.Rand
-	now      time.Duration
-	seq      int
-	timers   timers
 	relays   []*relay
 	lists    [][]topology.VMID
 	cut      map[[2]topology.VMID]time.Duration
@@ -79,19 +55,11 @@
 	return time.Duration(s.rng.Int63n(int64(limit) + 1))
 }
 
-func (s *sim) after(d time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.timers, timer{at: s.now + d, seq: s.seq, run: run})
-}
-
 func (s *sim) runUntil(end time.Duration) {
-	for len(s.timers) > 0 && s.timers[0].at <= end {
-		t := heap.Pop(&s.timers).(timer)
-		s.now = t.at
-		t.run()
+	for s.Next(end) {
 		s.checkHolders()
 	}
-	s.now = end
+	s.RunUntil(end)
 }
 
 // checkHolders is stricter than the invariant: it also sees two holders that
@@ -106,7 +74,7 @@
 			continue
 		}
 		if holder != "" {
-			s.fail("at %v %s and %s hold the lease", s.now, holder, r.name())
+			s.fail("at %v %s and %s hold the lease", s.Now, holder, r.name())
 		}
 		holder = r.name()
 	}
@@ -122,7 +90,7 @@
 	}
 	s.lists = append(s.lists, append(slices.Clone(list), r.vm))
 	r.list = max(0, len(s.lists)-1-s.rng.Intn(3))
-	s.after(startIn, r.start)
+	s.After(startIn, r.start)
 	return r
 }
 
@@ -139,14 +107,14 @@
 		copies = 2
 	}
 	for range copies {
-		if s.now < s.cut[[2]topology.VMID{from, to}] || s.rng.Float64() < s.loss {
+		if s.Now < s.cut[[2]topology.VMID{from, to}] || s.rng.Float64() < s.loss {
 			continue
 		}
 		delay := s.random(s.maxDelay)
 		if s.rng.Float64() < s.slow {
 			delay = s.random(5 * time.Second)
 		}
-		s.after(delay, func() {
+		s.After(delay, func() {
 			for _, r := range s.relays {
 				if r.vm == to {
 					r.whenRunning(r.boot, func() { deliver(r) })
@@ -158,7 +126,7 @@
 
 // propose applies an eviction as a conditional update.
 func (s *sim) propose(r *relay, p ProposeEviction) {
-	s.after(s.random(time.Second), func() {
+	s.After(s.random(time.Second), func() {
 		if p.IfVersion != s.evictionsVersion {
 			return
 		}
@@ -173,25 +141,25 @@
 
 // arrive runs a request in the leaf, unless it comes after its start-by.
 func (s *sim) arrive(r *relay, boot topology.BootID, id uint64, startBy time.Duration) {
-	if s.now+s.leafWall > startBy {
+	if s.Now+s.leafWall > startBy {
 		s.late++
 		r.whenRunning(boot, func() { r.ended(id, refusal()) })
 		return
 	}
 	key := fmt.Sprint(r.vm, "/", boot, "/", id)
-	started := s.now
+	started := s.Now
 	s.starts++
 	s.running[key] = true
 	if len(s.running) > 1 {
-		s.fail("at %v the cold leaf runs %d requests: %v", s.now, len(s.running), s.running)
+		s.fail("at %v the cold leaf runs %d requests: %v", s.Now, len(s.running), s.running)
 	}
 	took := s.random(s.runLimit)
 	if s.rng.Intn(3) == 0 {
 		took = s.runLimit
 	}
-	s.after(took, func() {
+	s.After(took, func() {
 		if !r.alive || r.boot != boot { // nobody cancels it
-			s.after(started+s.runLimit-s.now, func() { delete(s.running, key) })
+			s.After(started+s.runLimit-s.Now, func() { delete(s.running, key) })
 			return
 		}
 		delete(s.running, key)
@@ -200,7 +168,7 @@
 			s.leafBoot++
 		}
 		if reply := s.reply(took); s.rng.Float64() >= s.loss {
-			s.after(s.random(s.maxDelay), func() { r.whenRunning(boot, func() { r.ended(id, reply) }) })
+			s.After(s.random(s.maxDelay), func() { r.whenRunning(boot, func() { r.ended(id, reply) }) })
 		}
 	})
 }
--- a/internal/confsync/fleet_net_test.go
+++ b/internal/confsync/fleet_net_test.go
@@ -22,7 +22,7 @@
 		}
 		for _, n := range f.nodes {
 			if n.vm.ID == to && !n.cut && !from.cut {
-				f.after(d, func() { f.step(n, ev) })
+				f.After(d, func() { f.step(n, ev) })
 			}
 		}
 	}
@@ -43,7 +43,7 @@
 		}
 	}
 	if a.From == "" {
-		f.after(5*time.Millisecond, func() {
+		f.After(5*time.Millisecond, func() {
 			f.store.reads++
 			if f.store.down {
 				if !f.store.silent {
@@ -58,7 +58,7 @@
 	}
 	for _, p := range f.nodes {
 		if p.vm.ID == a.From && !p.cut && !n.cut && f.rnd.Float64() >= f.faults.loss {
-			f.after(max(5*time.Millisecond, p.paused-f.now), func() {
+			f.After(max(5*time.Millisecond, p.paused-f.Now), func() {
 				text, ok := p.machine.Section(a.Name, a.EditID)
 				reply(text, ok, p)
 			})
--- a/internal/confsync/fleet_store_test.go
+++ b/internal/confsync/fleet_store_test.go
@@ -49,19 +49,19 @@
 		}
 		return
 	}
-	if m := f.store.manifest; m.Generation != last || f.now-reported >= time.Second {
+	if m := f.store.manifest; m.Generation != last || f.Now-reported >= time.Second {
 		f.store.reads++
-		last, reported = m.Generation, f.now
+		last, reported = m.Generation, f.Now
 		f.step(n, StoreRead{Manifest: m, OK: true})
 	}
-	f.after(20*time.Millisecond, func() { f.watch(n, watch, boot, last, reported) })
+	f.After(20*time.Millisecond, func() { f.watch(n, watch, boot, last, reported) })
 }
 
 // converged reports a node that isn't on the accepted generation.
 func (f *fleet) converged() error {
 	for _, n := range f.nodes {
 		if got, want := n.machine.Generation(), f.store.manifest.Generation; got != want {
-			return fmt.Errorf("%s: generation %d in force at %v, accepted %d", n.vm.ID, got, f.now, want)
+			return fmt.Errorf("%s: generation %d in force at %v, accepted %d", n.vm.ID, got, f.Now, want)
 		}
 	}
 	return nil
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -1,21 +1,19 @@
 package confsync
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/eventloop"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
 // fleet runs machines in virtual time over a store and a network with faults.
 type fleet struct {
+	eventloop.Loop
 	fail   func(format string, args ...any)
 	rnd    *rand.Rand
-	now    time.Duration
-	seq    int
-	queue  events
 	nodes  []*node
 	store  fakeStore
 	faults faults
@@ -47,22 +45,6 @@
 	fetched []Fetch
 }
 
-type scheduled struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []scheduled
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(scheduled)) }
-func (e *events) Pop() any     { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
-
 func newFleet(fail func(string, ...any), seed uint64, vms, zones int) *fleet {
 	f := &fleet{fail: fail, rnd: rand.New(rand.NewPCG(seed, 1))}
 	f.store.texts, f.store.accepted = map[textKey][]byte{}, map[uint64]Manifest{}
@@ -74,20 +56,6 @@
 	return f
 }
 
-func (f *fleet) after(d time.Duration, run func()) {
-	f.seq++
-	heap.Push(&f.queue, scheduled{at: f.now + d, seq: f.seq, run: run})
-}
-
-func (f *fleet) run(until time.Duration) {
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		e := heap.Pop(&f.queue).(scheduled)
-		f.now = e.at
-		e.run()
-	}
-	f.now = until
-}
-
 func (f *fleet) startAll() {
 	for _, n := range f.nodes {
 		f.start(n)
@@ -97,7 +65,7 @@
 // start boots a node, which knows the whole VM list.
 func (f *fleet) start(n *node) {
 	n.boot++
-	n.booted, n.paused, n.inForce, n.watch, n.fetched = f.now, 0, 0, n.watch+1, nil
+	n.booted, n.paused, n.inForce, n.watch, n.fetched = f.Now, 0, 0, n.watch+1, nil
 	n.machine = New(n.vm, rand.New(rand.NewPCG(f.rnd.Uint64(), 2)))
 	for _, other := range f.nodes {
 		f.step(n, PeerJoined{VM: other.vm})
@@ -110,21 +78,21 @@
 		return
 	}
 	f.step(n, Tick{})
-	f.after(max(250*time.Millisecond, n.paused-f.now), func() { f.tick(n, boot) })
+	f.After(max(250*time.Millisecond, n.paused-f.Now), func() { f.tick(n, boot) })
 }
 
 // step delivers an event, after the pause of a paused node.
 func (f *fleet) step(n *node, ev Event) {
-	if n.paused > f.now {
+	if n.paused > f.Now {
 		boot := n.boot
-		f.after(n.paused-f.now, func() {
+		f.After(n.paused-f.Now, func() {
 			if n.boot == boot {
 				f.step(n, ev)
 			}
 		})
 		return
 	}
-	for _, a := range n.machine.Step(f.now-n.booted, ev) {
+	for _, a := range n.machine.Step(f.Now-n.booted, ev) {
 		f.act(n, a)
 	}
 }
@@ -144,28 +112,28 @@
 	case WatchStore:
 		n.watch++
 		if a.On {
-			f.watch(n, n.watch, boot, 0, f.now-time.Second)
+			f.watch(n, n.watch, boot, 0, f.Now-time.Second)
 		}
 	case PollStore:
-		f.after(5*time.Millisecond, func() { f.read(n, boot) })
+		f.After(5*time.Millisecond, func() { f.read(n, boot) })
 	}
 }
 
 func (f *fleet) activated(n *node, a Activate) {
 	if a.Manifest.Generation <= n.inForce {
-		f.fail("%s at %v: generation %d in force falls to %d", n.vm.ID, f.now, n.inForce, a.Manifest.Generation)
+		f.fail("%s at %v: generation %d in force falls to %d", n.vm.ID, f.Now, n.inForce, a.Manifest.Generation)
 	}
 	want := f.store.accepted[a.Manifest.Generation]
 	for i, ref := range want.Sections {
 		if len(a.Sections) != len(want.Sections) || a.Sections[i].Name != ref.Name || HashText(a.Sections[i].Text) != ref.Hash {
-			f.fail("%s at %v: generation %d is activated with missing or wrong section %s", n.vm.ID, f.now, a.Manifest.Generation, ref.Name)
+			f.fail("%s at %v: generation %d is activated with missing or wrong section %s", n.vm.ID, f.Now, a.Manifest.Generation, ref.Name)
 			return
 		}
 	}
-	f.after(10*time.Millisecond, func() {
+	f.After(10*time.Millisecond, func() {
 		f.step(n, Checked{Generation: a.Manifest.Generation, OK: true})
 		if n.machine.Generation() < n.inForce {
-			f.fail("%s at %v: generation %d in force falls to %d", n.vm.ID, f.now, n.inForce, n.machine.Generation())
+			f.fail("%s at %v: generation %d in force falls to %d", n.vm.ID, f.Now, n.inForce, n.machine.Generation())
 		}
 		n.inForce = n.machine.Generation()
 	})
--- a/internal/confsync/machine_test.go
+++ b/internal/confsync/machine_test.go
@@ -17,7 +17,7 @@
 		f.edit(section)
 	}
 	f.startAll()
-	f.run(5 * time.Second)
+	f.RunUntil(5 * time.Second)
 	assert.NilError(t, f.converged())
 	return f
 }
@@ -38,7 +38,7 @@
 		n.fetched = nil
 	}
 	f.edit("index.a")
-	f.run(f.now + time.Second)
+	f.RunUntil(f.Now + time.Second)
 	assert.NilError(t, f.converged())
 	watching := 0
 	for _, n := range f.nodes {
@@ -63,7 +63,7 @@
 		}
 	}
 	f.edit("index.a")
-	f.run(f.now + settleTime)
+	f.RunUntil(f.Now + settleTime)
 	for _, n := range f.nodes {
 		if !dead[n.vm.ID] {
 			assert.Equal(t, n.machine.Generation(), uint64(4), "%s", n.vm.ID)
@@ -76,7 +76,7 @@
 func TestStoreDownRightAfterAcceptance(t *testing.T) {
 	f := settled(t, 6)
 	f.edit("index.a")
-	for until := f.now + time.Second; f.now < until; f.run(f.now + time.Millisecond) {
+	for until := f.Now + time.Second; f.Now < until; f.RunUntil(f.Now + time.Millisecond) {
 		for _, n := range f.nodes {
 			if n.machine.Held().Generation == 4 {
 				f.store.down = true
@@ -93,14 +93,14 @@
 	f := settled(t, 6)
 	stale := settled(t, 6)
 	f.edit("index.a")
-	f.run(f.now + 2*time.Second)
+	f.RunUntil(f.Now + 2*time.Second)
 	f.store.down = true
 	for _, i := range []int{1, 2, 3, 4} {
 		f.nodes[i].machine.held = stale.nodes[i].machine.held
 		f.nodes[i].inForce, f.nodes[i].machine.inForce = 3, 3
 	}
 	f.start(f.nodes[0])
-	for until := f.now + settleTime; f.now < until; f.run(f.now + time.Millisecond) {
+	for until := f.Now + settleTime; f.Now < until; f.RunUntil(f.Now + time.Millisecond) {
 		g := f.nodes[0].machine.Held().Generation
 		assert.Assert(t, g == 0 || g == 4, "generation %d", g)
 	}
@@ -112,11 +112,11 @@
 func TestPausedVMWakesWithAnOldGeneration(t *testing.T) {
 	f := settled(t, 4)
 	n := f.nodes[2]
-	n.paused = f.now + 5*time.Second
+	n.paused = f.Now + 5*time.Second
 	f.edit("index.a")
-	f.run(f.now + 4900*time.Millisecond)
+	f.RunUntil(f.Now + 4900*time.Millisecond)
 	f.edit("index.b")
-	f.run(n.paused + time.Second)
+	f.RunUntil(n.paused + time.Second)
 	assert.NilError(t, f.converged())
 }
 
@@ -130,13 +130,13 @@
 		n.fetched = nil
 	}
 	before := f.store.reads
-	f.run(f.now + time.Minute)
+	f.RunUntil(f.Now + time.Minute)
 	polls = f.store.reads - before
 	// Four VMs poll every 4 to 8 s, after shorter pauses at the beginning.
 	assert.Assert(t, polls > 20 && polls < 4*20, "%d polls", polls)
 	f.store.down = false
 	f.edit("index.a")
-	f.run(f.now + settleTime)
+	f.RunUntil(f.Now + settleTime)
 	assert.NilError(t, f.converged())
 }
 
@@ -147,7 +147,7 @@
 	for _, section := range []string{"index.a", "index.b", "index.a"} {
 		f.edit(section)
 	}
-	m, now := f.nodes[0].machine, f.now+time.Second
+	m, now := f.nodes[0].machine, f.Now+time.Second
 	accepted := f.store.accepted
 	invalid := Manifest{Generation: 9, Sections: []SectionRef{{Name: "b"}, {Name: "a"}}}
 	rows := []struct {
@@ -187,9 +187,9 @@
 func TestFailedCheckIsNotInForce(t *testing.T) {
 	f := settled(t, 3)
 	m := f.nodes[0].machine
-	m.Step(f.now, Checked{Generation: 3, OK: false})
-	m.Step(f.now, Checked{Generation: 2, OK: true})
-	m.Step(f.now, Checked{Generation: 8, OK: true})
+	m.Step(f.Now, Checked{Generation: 3, OK: false})
+	m.Step(f.Now, Checked{Generation: 2, OK: true})
+	m.Step(f.Now, Checked{Generation: 8, OK: true})
 	assert.Equal(t, m.Generation(), uint64(3))
 	n := New(topology.VM{ID: "vm"}, rand.New(rand.NewPCG(1, 1)))
 	n.held.Generation = 2
--- a/internal/confsync/property_test.go
+++ b/internal/confsync/property_test.go
@@ -29,9 +29,9 @@
 		for range rapid.IntRange(0, 25).Draw(rt, "faults") {
 			drawFault(rt, f)
 		}
-		f.run(faultTime)
+		f.RunUntil(faultTime)
 		f.heal()
-		f.run(faultTime + settleTime)
+		f.RunUntil(faultTime + settleTime)
 		if err := f.converged(); err != nil {
 			rt.Fatal(err)
 		}
@@ -44,23 +44,23 @@
 	other := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(rt, "other")]
 	length := time.Duration(rapid.IntRange(100, 8000).Draw(rt, "length ms")) * time.Millisecond
 	kind := rapid.SampledFrom([]string{"edit", "edit", "edit", "pause", "restart", "outage", "silent", "cut", "flap"}).Draw(rt, "kind")
-	f.after(at, func() {
+	f.After(at, func() {
 		switch kind {
 		case "edit":
 			f.edit(fmt.Sprintf("index.%d", f.rnd.IntN(4)))
 		case "pause":
-			n.paused = min(f.now+length, faultTime)
+			n.paused = min(f.Now+length, faultTime)
 		case "restart":
 			f.start(n)
 		case "outage", "silent":
 			f.store.down, f.store.silent = true, kind == "silent"
-			f.after(length, func() { f.store.down = false })
+			f.After(length, func() { f.store.down = false })
 		case "cut":
 			n.cut = true
-			f.after(length, func() { n.cut = false })
+			f.After(length, func() { n.cut = false })
 		case "flap":
 			f.step(n, PeerLeft{VM: other.vm.ID})
-			f.after(length, func() { f.step(n, PeerJoined{VM: other.vm}) })
+			f.After(length, func() { f.step(n, PeerJoined{VM: other.vm}) })
 		}
 	})
 }
--- a/internal/measure/loop.go
+++ b/internal/eventloop/loop.go
@@ -1,4 +1,4 @@
-package measure
+package eventloop
 
 import "time"
 
@@ -17,27 +17,29 @@
 	return e.seq < o.seq
 }
 
-// loop runs events in the order of their times, and in the order of their
-// creation at equal times.
-type loop struct {
-	now   time.Duration
+// Loop runs calls in the order of their times, and in the order of their
+// creation at equal times. It is not safe for concurrent use.
+type Loop struct {
+	// Now is the virtual time. Only the loop changes it.
+	Now   time.Duration
 	seq   uint64
 	heap  []event
 	calls []func()
 	free  []int32
 }
 
-// at schedules a call. A time in the past means now.
-func (l *loop) at(t time.Duration, run func()) {
+// At schedules a call. A time in the past means now.
+func (l *Loop) At(t time.Duration, run func()) {
 	l.seq++
-	e := event{at: max(t, l.now), seq: l.seq, call: l.store(run)}
+	e := event{at: max(t, l.Now), seq: l.seq, call: l.store(run)}
 	l.heap = append(l.heap, e)
 	l.up(e)
 }
 
-func (l *loop) after(d time.Duration, run func()) { l.at(l.now+d, run) }
+// After schedules a call after a delay.
+func (l *Loop) After(d time.Duration, run func()) { l.At(l.Now+d, run) }
 
-func (l *loop) store(run func()) int32 {
+func (l *Loop) store(run func()) int32 {
 	if n := len(l.free); n > 0 {
 		i := l.free[n-1]
 		l.free = l.free[:n-1]
@@ -48,20 +50,29 @@
 	return int32(len(l.calls) - 1)
 }
 
-// runUntil handles all events up to a time.
-func (l *loop) runUntil(end time.Duration) {
-	for len(l.heap) > 0 && l.heap[0].at <= end {
-		next := l.pop()
-		run := l.calls[next.call]
-		l.calls[next.call] = nil
-		l.free = append(l.free, next.call)
-		l.now = next.at
-		run()
+// RunUntil handles all calls up to a time, which is then the time.
+func (l *Loop) RunUntil(end time.Duration) {
+	for l.Next(end) {
 	}
-	l.now = end
+	l.Now = end
 }
 
-func (l *loop) pop() event {
+// Next handles the first call if it is not after a time, and reports whether
+// there was one.
+func (l *Loop) Next(end time.Duration) bool {
+	if len(l.heap) == 0 || l.heap[0].at > end {
+		return false
+	}
+	next := l.pop()
+	run := l.calls[next.call]
+	l.calls[next.call] = nil
+	l.free = append(l.free, next.call)
+	l.Now = next.at
+	run()
+	return true
+}
+
+func (l *Loop) pop() event {
 	top, last := l.heap[0], len(l.heap)-1
 	e := l.heap[last]
 	l.heap = l.heap[:last]
@@ -71,7 +82,7 @@
 	return top
 }
 
-func (l *loop) up(e event) {
+func (l *Loop) up(e event) {
 	heap, i := l.heap, len(l.heap)-1
 	for i > 0 {
 		parent := (i - 1) / 2
--- a/internal/measure/connection_wait_test.go
+++ b/internal/measure/connection_wait_test.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/eventloop"
 )
 
 // connections is one leaf whose requests need an open connection and a slot.
 type connections struct {
-	loop  loop
+	loop  eventloop.Loop
 	rng   *rand.Rand
 	run   time.Duration
 	setup time.Duration
@@ -24,21 +26,21 @@
 const waitSlots = 2
 
 func (c *connections) arrive() {
-	c.queue = append(c.queue, c.loop.now)
+	c.queue = append(c.queue, c.loop.Now)
 	if len(c.queue) > c.open-c.running+c.opening && c.open+c.opening < c.limit {
 		c.opening++
-		c.loop.after(c.setup, func() { c.opening--; c.open++; c.start() })
+		c.loop.After(c.setup, func() { c.opening--; c.open++; c.start() })
 	}
 	c.start()
 }
 
 func (c *connections) start() {
 	for len(c.queue) > 0 && c.running < min(c.open, waitSlots) {
-		c.waits = append(c.waits, c.loop.now-c.queue[0])
+		c.waits = append(c.waits, c.loop.Now-c.queue[0])
 		c.queue = c.queue[1:]
 		c.running++
 		took := time.Duration(float64(c.run) * (0.8 + 0.4*c.rng.Float64()))
-		c.loop.after(took, func() { c.running--; c.start() })
+		c.loop.After(took, func() { c.running--; c.start() })
 	}
 }
 
@@ -50,12 +52,12 @@
 	mean := float64(group[0]) / waitSlots / load
 	for range 100 {
 		c.open, c.limit = open, limit
-		at := c.loop.now + time.Second
+		at := c.loop.Now + time.Second
 		for range 200 {
 			at += time.Duration(c.rng.ExpFloat64() * mean)
-			c.loop.at(at, c.arrive)
+			c.loop.At(at, c.arrive)
 		}
-		c.loop.runUntil(at + time.Second)
+		c.loop.RunUntil(at + time.Second)
 	}
 	slices.Sort(c.waits)
 	return c.waits[len(c.waits)*99/100]
--- a/internal/measure/entry.go
+++ b/internal/measure/entry.go
@@ -57,16 +57,16 @@
 // arrive takes a query of a caller.
 func (e *entry) arrive(class *topology.Class) {
 	e.nextID++
-	q := &queryRun{entry: e, id: e.nextID, class: class, arrived: e.sim.now}
+	q := &queryRun{entry: e, id: e.nextID, class: class, arrived: e.sim.Now}
 	e.waiting[q.id] = q
 	e.admission(admission.Arrive{
-		ID: q.id, Priority: class.Priority, Deadline: e.sim.now + class.Deadline,
+		ID: q.id, Priority: class.Priority, Deadline: e.sim.Now + class.Deadline,
 		Expected: class.LatencyTarget / 4,
 	})
 }
 
 func (e *entry) admission(ev admission.Event) {
-	actions := e.queue.Step(e.sim.now, ev)
+	actions := e.queue.Step(e.sim.Now, ev)
 	e.wake()
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -83,13 +83,13 @@
 }
 
 func (e *entry) wake() {
-	at, ok := e.queue.NextWake(e.sim.now)
+	at, ok := e.queue.NextWake(e.sim.Now)
 	if !ok {
 		return
 	}
 	e.timers++
 	number := e.timers
-	e.sim.at(at, func() {
+	e.sim.At(at, func() {
 		if number == e.timers {
 			e.admission(admission.Wake{})
 		}
--- a/internal/measure/leaf.go
+++ b/internal/measure/leaf.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/eventloop"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
@@ -40,7 +41,7 @@
 
 // leaf is a fake upstream. It bears one request at a time while it is cold.
 type leaf struct {
-	loop  *loop
+	loop  *eventloop.Loop
 	id    topology.LeafID
 	shard topology.ShardID
 	zone  int
@@ -71,7 +72,7 @@
 	r := &run{ended: ended}
 	switch {
 	case l.dead:
-	case l.loop.now < l.failingUntil:
+	case l.loop.Now < l.failingUntil:
 		l.end(r, outcomeReset)
 	case l.cold() && len(l.running) > 0:
 		l.overloaded(r)
@@ -88,7 +89,7 @@
 // overloaded makes the cold leaf fail for a while.
 func (l *leaf) overloaded(r *run) {
 	l.violations++
-	l.failingUntil = l.loop.now + collapse
+	l.failingUntil = l.loop.Now + collapse
 	l.running = append(l.running, r)
 	l.loseAll()
 }
@@ -104,12 +105,12 @@
 func (l *leaf) start(r *run) {
 	r.began = true
 	l.running = append(l.running, r)
-	l.lastStart = l.loop.now
+	l.lastStart = l.loop.Now
 	took := l.times.draw() + l.slowBy
 	if l.cold() {
 		took *= coldFactor
 	}
-	l.loop.after(took, func() { l.finish(r) })
+	l.loop.After(took, func() { l.finish(r) })
 }
 
 func (l *leaf) finish(r *run) {
--- a/internal/measure/leaf_faults.go
+++ b/internal/measure/leaf_faults.go
@@ -8,7 +8,7 @@
 	l.failingUntil = 0
 	l.loseAll()
 	if l.closed != nil {
-		l.loop.after(localDelay, l.closed)
+		l.loop.After(localDelay, l.closed)
 	}
 }
 
--- a/internal/measure/network.go
+++ b/internal/measure/network.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/eventloop"
 )
 
 const (
@@ -29,7 +31,7 @@
 
 // network delivers messages between availability zones.
 type network struct {
-	loop   *loop
+	loop   *eventloop.Loop
 	rng    *rand.Rand
 	oneWay time.Duration
 	// lossy is set for the link between the first two availability zones.
@@ -41,17 +43,17 @@
 // connection.
 func (n *network) send(from, to, number int, run func()) {
 	if from == to {
-		n.loop.after(localDelay, run)
+		n.loop.After(localDelay, run)
 		return
 	}
 	if !n.lossy || from > 1 || to > 1 {
-		n.loop.after(n.oneWay, run)
+		n.loop.After(n.oneWay, run)
 		return
 	}
 	key := lane{from: from, to: to, number: number % lanes}
-	arrival := max(n.loop.now+n.oneWay+n.extra(), n.last[key])
+	arrival := max(n.loop.Now+n.oneWay+n.extra(), n.last[key])
 	n.last[key] = arrival
-	n.loop.at(arrival, run)
+	n.loop.At(arrival, run)
 }
 
 func (n *network) extra() time.Duration {
--- a/internal/measure/plain_query.go
+++ b/internal/measure/plain_query.go
@@ -38,7 +38,7 @@
 	}
 	q.done = true
 	sim := q.sender.sim
-	sim.result.answered(q.class, q.arrived, sim.now, q.covered, uint64(sim.size.Shards))
+	sim.result.answered(q.class, q.arrived, sim.Now, q.covered, uint64(sim.size.Shards))
 	for _, c := range q.calls {
 		c.abandon()
 	}
--- a/internal/measure/planner.go
+++ b/internal/measure/planner.go
@@ -35,14 +35,14 @@
 }
 
 func (p *planner) next() query.Plan {
-	if p.dirty || p.sim.now-p.built >= hedgeDelayAge {
+	if p.dirty || p.sim.Now-p.built >= hedgeDelayAge {
 		p.rebuild()
 	}
 	return p.plans[p.entry.rng.IntN(planVariants)]
 }
 
 func (p *planner) rebuild() {
-	p.dirty, p.built = false, p.sim.now
+	p.dirty, p.built = false, p.sim.Now
 	p.hedge = p.hedge[:0]
 	for _, shard := range p.sim.shards {
 		p.hedge = append(p.hedge, p.entry.delay.hedgeAfter(shard))
--- a/internal/measure/query_run.go
+++ b/internal/measure/query_run.go
@@ -31,7 +31,7 @@
 }
 
 func (q *queryRun) start(plan query.Plan, params query.Params) {
-	q.began = q.entry.sim.now
+	q.began = q.entry.sim.Now
 	q.attempts = make(map[uint64]*attempt, len(plan.Shards)+2)
 	q.machine = query.New(params, plan)
 	q.apply(q.machine.Start(q.began))
@@ -39,7 +39,7 @@
 
 func (q *queryRun) step(ev query.Event) {
 	if !q.finished {
-		q.apply(q.machine.Step(q.entry.sim.now, ev, q.entry.spend.of(q.class)))
+		q.apply(q.machine.Step(q.entry.sim.Now, ev, q.entry.spend.of(q.class)))
 	}
 }
 
@@ -61,7 +61,7 @@
 func (q *queryRun) send(s query.Send) {
 	sim := q.entry.sim
 	r := sim.relayOf(s.Leaf)
-	at := &attempt{relay: r, send: s, at: sim.now}
+	at := &attempt{relay: r, send: s, at: sim.Now}
 	at.request = &leafRequest{
 		priority: q.class.Priority, startBy: s.StartBy, deadline: q.began + q.class.Deadline,
 		answer: func(answer reply) {
@@ -103,17 +103,17 @@
 	}
 	at.ended = true
 	if q.class.Priority == 0 {
-		q.entry.delay.observeLeaf(at.send.Leaf, q.entry.sim.now-at.at)
+		q.entry.delay.observeLeaf(at.send.Leaf, q.entry.sim.Now-at.at)
 	}
 	if firstSend(at.send.Kind) && (q.class.Priority == 0 || !q.entry.sim.policy.DelayPerClass) {
-		q.entry.delay.observe(at.send.Shard, q.entry.sim.now-at.at)
+		q.entry.delay.observe(at.send.Shard, q.entry.sim.Now-at.at)
 	}
 }
 
 func (q *queryRun) wakeAt(t time.Duration) {
 	q.timers++
 	number := q.timers
-	q.entry.sim.at(t, func() {
+	q.entry.sim.At(t, func() {
 		if number == q.timers {
 			q.step(query.Timer{})
 		}
@@ -124,6 +124,6 @@
 	q.finished = true
 	sim := q.entry.sim
 	sim.result.figures(q.class).count(q.machine.Counters())
-	sim.result.answered(q.class, q.arrived, sim.now, answer.Covered, answer.Total)
+	sim.result.answered(q.class, q.arrived, sim.Now, answer.Covered, answer.Total)
 	q.entry.admission(admission.Done{ID: q.id})
 }
--- a/internal/measure/relay.go
+++ b/internal/measure/relay.go
@@ -48,7 +48,7 @@
 	// Probes of different leaves are spread over the interval.
 	l.closed = r.closed
 	offset := probeInterval * time.Duration(l.index) / time.Duration(len(s.leaves)+1)
-	s.after(offset, r.probe)
+	s.After(offset, r.probe)
 	return r
 }
 
@@ -76,8 +76,8 @@
 
 // step applies an event to the queue under the limit that holds now.
 func (r *relay) step(ev leafqueue.Event) {
-	r.apply(r.queue.Step(r.sim.now, r.limit()))
-	r.apply(r.queue.Step(r.sim.now, ev))
+	r.apply(r.queue.Step(r.sim.Now, r.limit()))
+	r.apply(r.queue.Step(r.sim.Now, ev))
 	r.tell()
 	r.wake()
 }
@@ -87,7 +87,7 @@
 	if r.unsure {
 		return leafqueue.SetLimit{}
 	}
-	limit := r.tracker.Limit(r.sim.now)
+	limit := r.tracker.Limit(r.sim.Now)
 	typical, _ := r.tracker.Warmth()
 	return leafqueue.SetLimit{InFlight: limit.InFlight, NotBefore: limit.NotBefore, Typical: typical}
 }
@@ -130,13 +130,13 @@
 
 // wake asks for the queue's next timer. One that comes too early does no harm.
 func (r *relay) wake() {
-	at, ok := r.queue.NextWake(r.sim.now)
+	at, ok := r.queue.NextWake(r.sim.Now)
 	if !ok {
 		return
 	}
 	r.timers++
 	number := r.timers
-	r.sim.at(at, func() {
+	r.sim.At(at, func() {
 		if number == r.timers {
 			r.step(leafqueue.Tick{})
 		}
--- a/internal/measure/relay_dispatch.go
+++ b/internal/measure/relay_dispatch.go
@@ -8,15 +8,15 @@
 
 // dispatch sends a request to the leaf.
 func (r *relay) dispatch(req *leafRequest) {
-	req.sent = r.sim.now
+	req.sent = r.sim.Now
 	r.track(warmup.Dispatched{})
-	r.sim.after(localDelay, func() {
+	r.sim.After(localDelay, func() {
 		boot := r.leaf.boot
 		req.run = r.leaf.submit(func(o outcome) {
-			r.sim.after(localDelay, func() { r.ended(req, o, boot) })
+			r.sim.After(localDelay, func() { r.ended(req, o, boot) })
 		})
 	})
-	r.sim.at(req.deadline, func() { r.ended(req, outcomeTimedOut, 0) })
+	r.sim.At(req.deadline, func() { r.ended(req, outcomeTimedOut, 0) })
 }
 
 // abort closes the connection of a request that runs.
@@ -24,8 +24,8 @@
 	if r.sim.policy.KeepColdRuns && r.tracker.NeedsLease() {
 		return
 	}
-	r.sim.after(localDelay, func() { r.leaf.cancel(req.run) })
-	r.sim.after(0, func() { r.ended(req, outcomeCancelled, 0) })
+	r.sim.After(localDelay, func() { r.leaf.cancel(req.run) })
+	r.sim.After(0, func() { r.ended(req, outcomeCancelled, 0) })
 }
 
 // ended answers the entry, and frees the slot once the request is known to
@@ -37,7 +37,7 @@
 	req.ended = true
 	delete(r.requests, req.id)
 	if o == outcomeTimedOut {
-		r.sim.after(localDelay, func() { r.leaf.cancel(req.run) })
+		r.sim.After(localDelay, func() { r.leaf.cancel(req.run) })
 	}
 	r.observe(req, o, boot)
 	req.answer(replyOf(o))
@@ -50,15 +50,15 @@
 
 // hold keeps the slot until the request cannot run in the cold leaf any more.
 func (r *relay) hold(req *leafRequest) {
-	wait := max(req.startBy-r.sim.now+runLimit, 0)
-	r.sim.after(wait, func() { r.step(leafqueue.Done{ID: req.id}) })
+	wait := max(req.startBy-r.sim.Now+runLimit, 0)
+	r.sim.After(wait, func() { r.step(leafqueue.Done{ID: req.id}) })
 	r.step(leafqueue.Ended{ID: req.id})
 }
 
 func (r *relay) observe(req *leafRequest, o outcome, boot uint64) {
 	switch o {
 	case outcomeReply:
-		r.track(warmup.Replied{Latency: r.sim.now - req.sent, Boot: boot})
+		r.track(warmup.Replied{Latency: r.sim.Now - req.sent, Boot: boot})
 	case outcomeReset:
 		r.track(warmup.Reset{})
 	case outcomeTimedOut:
@@ -71,14 +71,14 @@
 }
 
 func (r *relay) track(ev warmup.Event) {
-	r.sim.result.fell(r.tracker.Step(r.sim.now, ev))
+	r.sim.result.fell(r.tracker.Step(r.sim.Now, ev))
 }
 
 // cancelledEvent is Refused as in the first relay, whose tracker knew no event
 // for a request that its caller withdrew.
 func (r *relay) cancelledEvent(req *leafRequest) warmup.Event {
 	if r.sim.policy.CancelCensored {
-		return warmup.Cancelled{Ran: r.sim.now - req.sent}
+		return warmup.Cancelled{Ran: r.sim.Now - req.sent}
 	}
 	return warmup.Refused{}
 }
@@ -100,10 +100,10 @@
 // probe asks the leaf for its report, each second and when the tracker asks.
 func (r *relay) probe() {
 	if r.leaf.dead {
-		r.sim.after(probeTimeout, r.probeFailed)
+		r.sim.After(probeTimeout, r.probeFailed)
 		return
 	}
-	r.sim.after(2*localDelay, func() { r.probed(); r.sim.after(probeInterval-2*localDelay, r.probe) })
+	r.sim.After(2*localDelay, func() { r.probed(); r.sim.After(probeInterval-2*localDelay, r.probe) })
 }
 
 // closed takes the end of all connections to the leaf.
@@ -112,14 +112,14 @@
 		return
 	}
 	r.unsure = true
-	r.sim.after(2*localDelay, r.probed)
+	r.sim.After(2*localDelay, r.probed)
 }
 
 func (r *relay) probeFailed() {
 	r.track(warmup.ConnectFailed{})
 	r.track(warmup.Probed{})
 	r.step(leafqueue.Tick{})
-	r.sim.after(probeInterval-probeTimeout, r.probe)
+	r.sim.After(probeInterval-probeTimeout, r.probe)
 }
 
 func (r *relay) probed() {
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -89,19 +89,19 @@
 }
 
 func slowFault(s *sim) {
-	s.at(faultAt, func() { s.leaves[0].slowBy = slowReplica })
+	s.At(faultAt, func() { s.leaves[0].slowBy = slowReplica })
 }
 
 func deadFault(s *sim) {
-	s.at(faultAt, func() { s.leaves[0].die() })
+	s.At(faultAt, func() { s.leaves[0].die() })
 }
 
 func restartFault(s *sim) {
-	s.at(faultAt, func() { s.leaves[0].restart() })
+	s.At(faultAt, func() { s.leaves[0].restart() })
 }
 
 func silentColdFault(s *sim) {
-	s.at(faultAt, func() { s.leaves[0].turnCold() })
+	s.At(faultAt, func() { s.leaves[0].turnCold() })
 }
 
 func zoneFault(s *sim) { s.zoneAway(1, faultAt, awayTime) }
--- a/internal/measure/sender.go
+++ b/internal/measure/sender.go
@@ -47,8 +47,8 @@
 
 // arrive sends a query to one leaf of each shard, in turn.
 func (s *sender) arrive(class *topology.Class) {
-	q := &plainQuery{sender: s, class: class, arrived: s.sim.now, open: s.sim.size.Shards}
-	s.sim.after(class.Deadline, q.finish)
+	q := &plainQuery{sender: s, class: class, arrived: s.sim.Now, open: s.sim.size.Shards}
+	s.sim.After(class.Deadline, q.finish)
 	for shard := range s.sim.size.Shards {
 		q.send(s.pick(shard))
 	}
--- a/internal/measure/sim.go
+++ b/internal/measure/sim.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/eventloop"
 	"github.com/medlarswitch/medlarswitch/internal/topology"
 )
 
@@ -19,7 +20,7 @@
 
 // sim is one run.
 type sim struct {
-	loop
+	eventloop.Loop
 	scenario Scenario
 	size     Size
 	policy   Policy
@@ -49,7 +50,7 @@
 		},
 	}
 	s.network = &network{
-		loop: &s.loop, rng: stream(seed, streamNetwork), oneWay: size.OneWay,
+		loop: &s.Loop, rng: stream(seed, streamNetwork), oneWay: size.OneWay,
 		lossy: scenario.Lossy, last: make(map[lane]time.Duration),
 	}
 	s.addLeaves(seed)
@@ -57,8 +58,8 @@
 	if scenario.fault != nil {
 		scenario.fault(s)
 	}
-	s.after(0, s.nextArrival)
-	s.runUntil(rampTime + scenario.Length)
+	s.After(0, s.nextArrival)
+	s.RunUntil(rampTime + scenario.Length)
 	s.conclude()
 	return s.result
 }
@@ -72,7 +73,7 @@
 		for replica := range leavesPerShard {
 			index := len(s.leaves)
 			s.leaves = append(s.leaves, &leaf{
-				loop: &s.loop, index: index, zone: (shard + replica) % s.size.Zones,
+				loop: &s.Loop, index: index, zone: (shard + replica) % s.size.Zones,
 				id: topology.LeafID("l" + strconv.Itoa(index)), shard: s.shards[shard],
 				boot: 1, coldReplies: warmAfter,
 				times: serviceTime{rng: stream(seed, streamLeaves+uint64(index)), tail: s.scenario.Tail},
@@ -116,11 +117,11 @@
 		s.entries[where%uint64(len(s.entries))].arrive(class)
 	}
 	gap := s.arrivals.ExpFloat64() / (s.scenario.Use * s.size.capacity() * s.ramp())
-	s.after(time.Duration(gap*float64(time.Second)), s.nextArrival)
+	s.After(time.Duration(gap*float64(time.Second)), s.nextArrival)
 }
 
 func (s *sim) ramp() float64 {
-	return min(max(float64(s.now)/float64(rampTime/2), rampStart), 1)
+	return min(max(float64(s.Now)/float64(rampTime/2), rampStart), 1)
 }
 
 // rampStart is the share of the load at which a run begins.
--- a/internal/measure/spending.go
+++ b/internal/measure/spending.go
@@ -35,7 +35,7 @@
 
 // sent counts a send.
 func (s *spending) sent(kind query.Kind) {
-	measured := s.sim.now >= rampTime
+	measured := s.sim.Now >= rampTime
 	if !firstSend(kind) {
 		s.extra++
 		s.overBudget = max(s.overBudget, s.extra-extraShare*s.firsts)
@@ -48,9 +48,9 @@
 	if measured {
 		s.sim.result.Firsts++
 	}
-	s.budget.OnFirst(s.sim.now)
+	s.budget.OnFirst(s.sim.Now)
 	if s.hedges != nil {
-		s.hedges.OnFirst(s.sim.now)
+		s.hedges.OnFirst(s.sim.Now)
 	}
 }
 
@@ -67,7 +67,7 @@
 
 // TrySpend implements query.Budget.
 func (c classBudget) TrySpend(kind query.Kind) bool {
-	s, now := c.spending, c.spending.sim.now
+	s, now := c.spending, c.spending.sim.Now
 	spent := budget.KindRetry
 	if kind == query.KindHedge {
 		spent = budget.KindHedge
--- a/internal/measure/zones.go
+++ b/internal/measure/zones.go
@@ -7,11 +7,11 @@
 func (s *sim) zoneAway(zone int, out, away time.Duration) {
 	back := out + away
 	s.result.windows = append(s.result.windows, window{from: out, to: back + zoneReturn})
-	s.at(out, func() { s.edit(zone, true) })
-	s.at(out+stopDelay, func() { s.eachLeaf(zone, (*leaf).die) })
-	s.at(back, func() { s.eachLeaf(zone, (*leaf).restart) })
-	s.at(back+zoneReady, func() { s.watchZone(zone) })
-	s.at(back+zoneReady, func() { s.edit(zone, false) })
+	s.At(out, func() { s.edit(zone, true) })
+	s.At(out+stopDelay, func() { s.eachLeaf(zone, (*leaf).die) })
+	s.At(back, func() { s.eachLeaf(zone, (*leaf).restart) })
+	s.At(back+zoneReady, func() { s.watchZone(zone) })
+	s.At(back+zoneReady, func() { s.edit(zone, false) })
 }
 
 const (
@@ -33,18 +33,18 @@
 // edit is accepted now and in force on each VM within configDelay.
 func (s *sim) edit(zone int, out bool) {
 	if out {
-		s.outSince[zone] = s.now
+		s.outSince[zone] = s.Now
 	}
 	for i, e := range s.entries {
-		s.after(spread(i, len(s.entries)), func() { e.setZone(zone, out) })
+		s.After(spread(i, len(s.entries)), func() { e.setZone(zone, out) })
 	}
 	for i, b := range s.senders {
-		s.after(spread(i, len(s.senders)), func() { b.out[zone] = out })
+		s.After(spread(i, len(s.senders)), func() { b.out[zone] = out })
 	}
 	for i, l := range s.leaves {
 		r := s.byID[l.id]
 		if r != nil && l.zone == zone {
-			s.after(spread(i, len(s.leaves)), func() { r.setOpen(!out) })
+			s.After(spread(i, len(s.leaves)), func() { r.setOpen(!out) })
 		}
 	}
 }
