--- a/internal/harness/edit.go
+++ b/internal/harness/edit.go
@@ -20,6 +20,16 @@
 	return string(out), errors.Wrapf(err, "medlarctl %s: %s", strings.Join(args, " "), out)
 }
 
+// Timeline returns the latest events of all processes that medlarctl selects,
+// or why it cannot.
+func (c *Cluster) Timeline(ctx context.Context, selection ...string) string {
+	out, err := c.Ctl(ctx, "operations", append([]string{"timeline", "--last", "400"}, selection...)...)
+	if err != nil {
+		return err.Error()
+	}
+	return out
+}
+
 // PutSection edits a section with medlarctl.
 func (c *Cluster) PutSection(ctx context.Context, s standin.Section) (string, error) {
 	path := filepath.Join(c.opts.Dir, s.Name+".section.toml")
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -83,7 +83,7 @@
 	defer close(leaf.release)
 	w := newLeafWorker(telemetry.NewProcess("vm-1", "a", wire.RoleRelay),
 		&topology.Leaf{ID: "leaf", Shard: "s", Index: "i", Zone: "a", Address: strings.TrimPrefix(server.URL, "http://")},
-		&topology.Index{ID: "i", Slots: 2, Connections: 25, RunLimit: time.Second}, 4, allLeases{}, func(message.LeafFacts) {})
+		&topology.Index{ID: "i", Slots: 2, Connections: 25, RunLimit: time.Second}, 4, newGrants(), func(message.LeafFacts) {})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go w.run(ctx)
@@ -113,13 +113,3 @@
 	}})
 	return replied
 }
-
-// allLeases grants every lease.
-type allLeases struct{}
-
-func (allLeases) Want(topology.LeafID, time.Duration, func())          {}
-func (allLeases) Unwant(topology.LeafID)                               {}
-func (allLeases) Held(topology.LeafID) bool                            { return true }
-func (allLeases) Dispatch(topology.LeafID, bool) (time.Duration, bool) { return 0, true }
-func (allLeases) Ended(topology.LeafID)                                {}
-func (allLeases) GoneBy(startBy, limit time.Duration) time.Duration    { return startBy + limit }
--- a/internal/relay/fake_leaf_test.go
+++ b/internal/relay/fake_leaf_test.go
@@ -55,6 +55,11 @@
 	held, dispatch bool
 }
 
+// newGrants grants every lease.
+func newGrants() *grants {
+	return &grants{fakeLeases: fakeLeases{ended: make(chan topology.LeafID, 2*maxQueued)}, held: true, dispatch: true}
+}
+
 func (g *grants) Held(topology.LeafID) bool { return g.held }
 func (g *grants) Dispatch(topology.LeafID, bool) (time.Duration, bool) {
 	return time.Hour, g.dispatch
@@ -73,7 +78,7 @@
 func newRig(t *testing.T) *rig {
 	r := &rig{
 		t: t, leaf: newFakeLeaf(t), answers: make(chan *message.LeafReply, 2*maxQueued),
-		grants: &grants{fakeLeases: fakeLeases{ended: make(chan topology.LeafID, 2*maxQueued)}, held: true, dispatch: true},
+		grants: newGrants(),
 	}
 	r.leafWorker = testWorker(r.grants)
 	leaf := *r.leafWorker.leaf
--- a/test/process/coldstart_test.go
+++ b/test/process/coldstart_test.go
@@ -45,7 +45,7 @@
 	names, err := c.Overloaded()
 	assert.NilError(t, err)
 	if len(names) > 0 {
-		t.Logf("events of %s:\n%s", names[0], c.Trace(t.Context(), "", names[0]))
+		t.Logf("events of %s:\n%s", names[0], c.Timeline(t.Context(), "--subject", names[0]))
 	}
 	assert.Equal(t, len(names), 0, "overloaded while cold: %v", names)
 }
--- a/test/process/connection_test.go
+++ b/test/process/connection_test.go
@@ -87,10 +87,10 @@
 
 // trace logs the events of a query and those of a leaf whose shard it lacks.
 func (r *rig) trace(got asked) {
-	r.t.Logf("the last incomplete answer, lacks %v:\n%s", got.missing, r.Trace(r.ctx, got.id))
+	r.t.Logf("the last incomplete answer, lacks %v:\n%s", got.missing, r.Timeline(r.ctx, "--request", got.id))
 	if len(got.missing) > 0 {
-		shard := got.missing[0]
-		r.t.Logf("leaves of shard %s:\n%s", shard, r.Trace(r.ctx, "", shard+"-1", shard+"-2"))
+		leaf := got.missing[0] + "-1"
+		r.t.Logf("events of %s and its replica:\n%s%s", leaf, r.Timeline(r.ctx, "--subject", leaf), r.Timeline(r.ctx, "--subject", harness.Replica(leaf)))
 	}
 }
 
