--- a/internal/message/leaf_reply_codec.go
+++ b/internal/message/leaf_reply_codec.go
@@ -1,6 +1,10 @@
 package message
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/medlarswitch/medlarswitch/internal/msgfields"
+)
 
 const (
 	// replyFields are the fields of a LeafReply that are always written.
@@ -13,54 +17,48 @@
 // EncodeMsgpack writes the bytes that msgpack would write by reflection from
 // the tags, at a fraction of the processor time.
 func (r LeafReply) EncodeMsgpack(enc *msgpack.Encoder) error {
-	w := fieldWriter{enc: enc}
-	w.fields(replyFields + count(len(r.Hits) > 0, len(r.Result) > 0, r.Failure != nil, r.Crash))
-	w.text("l", string(r.Leaf))
-	w.text("h", string(r.Shard))
-	w.key("n")
-	w.fields(2)
-	w.uint64("i", r.Snapshot.IndexVersion)
-	w.uint64("p", r.Snapshot.PartitionGeneration)
+	w := msgfields.Writer{Enc: enc}
+	w.Map(replyFields + msgfields.Count(len(r.Hits) > 0, len(r.Result) > 0, r.Failure != nil, r.Crash))
+	w.Text("l", string(r.Leaf))
+	w.Text("h", string(r.Shard))
+	w.Snapshot("n", r.Snapshot)
 	if len(r.Hits) > 0 {
-		w.hits(r.Hits)
+		writeHits(&w, r.Hits)
 	}
 	if len(r.Result) > 0 {
-		w.bytes("r", r.Result)
+		w.Bytes("r", r.Result)
 	}
 	if r.Failure != nil {
-		w.key("f")
-		w.keep(enc.Encode(r.Failure))
-	}
-	if r.Crash {
-		w.key("x")
-		w.keep(enc.EncodeBool(true))
+		w.Key("f")
+		w.Keep(enc.Encode(r.Failure))
 	}
-	w.int64("t", int64(r.RunTime))
-	return w.err
+	w.True("x", r.Crash)
+	w.Int64("t", int64(r.RunTime))
+	return w.Err
 }
 
-func (w *fieldWriter) hits(hits []Hit) {
-	w.key("i")
-	w.keep(w.enc.EncodeArrayLen(len(hits)))
+func writeHits(w *msgfields.Writer, hits []Hit) {
+	w.Key("i")
+	w.Keep(w.Enc.EncodeArrayLen(len(hits)))
 	for i := range hits {
-		w.fields(2)
-		w.text("k", hits[i].Key)
-		w.key("s")
-		w.keep(w.enc.EncodeFloat64(hits[i].Score))
+		w.Map(2)
+		w.Text("k", hits[i].Key)
+		w.Key("s")
+		w.Keep(w.Enc.EncodeFloat64(hits[i].Score))
 	}
 }
 
 // DecodeMsgpack reads what EncodeMsgpack writes, without reflection.
-func (r *LeafReply) DecodeMsgpack(dec *msgpack.Decoder) error { return readFields(dec, r.field) }
+func (r *LeafReply) DecodeMsgpack(dec *msgpack.Decoder) error { return msgfields.Read(dec, r.field) }
 
 func (r *LeafReply) field(dec *msgpack.Decoder, key string) (err error) {
 	switch key {
 	case "l":
-		err = readText(dec, &r.Leaf)
+		err = msgfields.ReadText(dec, &r.Leaf)
 	case "h":
-		err = readText(dec, &r.Shard)
+		err = msgfields.ReadText(dec, &r.Shard)
 	case "n":
-		err = readFields(dec, r.snapshotField)
+		err = msgfields.ReadSnapshot(dec, &r.Snapshot)
 	case "i":
 		err = r.readHits(dec)
 	case "r":
@@ -70,19 +68,7 @@
 	case "x":
 		r.Crash, err = dec.DecodeBool()
 	case "t":
-		err = readInt64(dec, &r.RunTime)
-	default:
-		err = dec.Skip()
-	}
-	return err
-}
-
-func (r *LeafReply) snapshotField(dec *msgpack.Decoder, key string) (err error) {
-	switch key {
-	case "i":
-		r.Snapshot.IndexVersion, err = dec.DecodeUint64()
-	case "p":
-		r.Snapshot.PartitionGeneration, err = dec.DecodeUint64()
+		err = msgfields.ReadInt64(dec, &r.RunTime)
 	default:
 		err = dec.Skip()
 	}
@@ -98,7 +84,7 @@
 	for range n {
 		r.Hits = append(r.Hits, Hit{})
 		hit := &r.Hits[len(r.Hits)-1]
-		if err := readFields(dec, hit.field); err != nil {
+		if err := msgfields.Read(dec, hit.field); err != nil {
 			return err
 		}
 	}
--- a/internal/wire/envelope_codec.go
+++ b/internal/wire/envelope_codec.go
@@ -4,8 +4,9 @@
 	"bytes"
 	"io"
 
-	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/medlarswitch/medlarswitch/internal/msgfields"
 )
 
 // Keys of an envelope; they are the tags of its fields.
@@ -18,145 +19,90 @@
 	keyClock    = "c"
 	keyBody     = "b"
 
-	keyIndexVersion        = "i"
-	keyPartitionGeneration = "p"
-	keyWallNS              = "w"
-	keyLogical             = "l"
+	keyWallNS  = "w"
+	keyLogical = "l"
 )
 
 // envelopeFields are the fields that are always written.
 const envelopeFields = 4
 
 // writeEnvelope writes the bytes that msgpack would write by reflection, at a
-// fraction of the processor time. A bytes.Buffer never fails, so the errors of
-// the encoder over it are always nil.
+// fraction of the processor time. A bytes.Buffer never fails, so there is no
+// error.
 func writeEnvelope(buf *bytes.Buffer, enc *msgpack.Encoder, env *Envelope) {
-	_ = enc.EncodeMapLen(envelopeFields + optionalFields(env))
-	writeUint64(enc, keyID, env.ID)
-	_ = enc.EncodeString(keyKind)
-	_ = enc.EncodeUint8(uint8(env.Kind))
-	if env.Reply {
-		_ = enc.EncodeString(keyReply)
-		_ = enc.EncodeBool(true)
-	}
+	w := msgfields.Writer{Enc: enc}
+	w.Map(envelopeFields + msgfields.Count(env.Reply, env.Shard != "", len(env.Body) > 0))
+	w.Uint64(keyID, env.ID)
+	w.Uint8(keyKind, uint8(env.Kind))
+	w.True(keyReply, env.Reply)
 	if env.Shard != "" {
-		_ = enc.EncodeString(keyShard)
-		_ = enc.EncodeString(env.Shard)
+		w.Text(keyShard, env.Shard)
 	}
-	_ = enc.EncodeString(keySnapshot)
-	_ = enc.EncodeMapLen(2)
-	writeUint64(enc, keyIndexVersion, env.Snapshot.IndexVersion)
-	writeUint64(enc, keyPartitionGeneration, env.Snapshot.PartitionGeneration)
-	_ = enc.EncodeString(keyClock)
-	_ = enc.EncodeMapLen(2)
-	_ = enc.EncodeString(keyWallNS)
-	_ = enc.EncodeInt64(env.Clock.WallNS)
-	_ = enc.EncodeString(keyLogical)
-	_ = enc.EncodeUint32(env.Clock.Logical)
+	w.Snapshot(keySnapshot, env.Snapshot)
+	w.Key(keyClock)
+	w.Map(2)
+	w.Int64(keyWallNS, env.Clock.WallNS)
+	w.Key(keyLogical)
+	w.Keep(enc.EncodeUint32(env.Clock.Logical))
 	if len(env.Body) > 0 {
-		_ = enc.EncodeString(keyBody)
+		w.Key(keyBody)
 		buf.Write(env.Body)
 	}
 }
 
-func optionalFields(env *Envelope) int {
-	n := 0
-	for _, present := range []bool{env.Reply, env.Shard != "", len(env.Body) > 0} {
-		if present {
-			n++
-		}
-	}
-	return n
-}
-
-func writeUint64(enc *msgpack.Encoder, key string, n uint64) {
-	_ = enc.EncodeString(key)
-	_ = enc.EncodeUint64(n)
-}
-
 // envelopeReader decodes one envelope.
 type envelopeReader struct {
 	payload []byte
 	r       bytes.Reader
-	dec     *msgpack.Decoder
 	env     *Envelope
 }
 
 // decodeEnvelope decodes a payload that checkStructure has accepted. The body
 // is a part of the payload and not a copy.
 func decodeEnvelope(payload []byte) (*Envelope, error) {
-	e := &envelopeReader{payload: payload, dec: msgpack.GetDecoder(), env: new(Envelope)}
-	defer msgpack.PutDecoder(e.dec)
+	e := &envelopeReader{payload: payload, env: new(Envelope)}
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
 	e.r.Reset(payload)
-	e.dec.Reset(&e.r)
-	if err := e.fields(e.field); err != nil {
+	dec.Reset(&e.r)
+	if err := msgfields.Read(dec, e.field); err != nil {
 		return nil, err
 	}
 	return e.env, nil
 }
 
-// fields calls f for each key of a map; f decodes its value.
-func (e *envelopeReader) fields(f func(key string) error) error {
-	n, err := e.dec.DecodeMapLen()
-	if err != nil {
-		return err
-	}
-	for range n {
-		key, err := e.dec.DecodeString()
-		if err != nil {
-			return err
-		}
-		if err := f(key); err != nil {
-			return errors.Wrapf(err, "field %q", key)
-		}
-	}
-	return nil
-}
-
-func (e *envelopeReader) field(key string) (err error) {
+func (e *envelopeReader) field(dec *msgpack.Decoder, key string) (err error) {
 	switch key {
 	case keyID:
-		e.env.ID, err = e.dec.DecodeUint64()
+		e.env.ID, err = dec.DecodeUint64()
 	case keyKind:
 		var kind uint8
-		kind, err = e.dec.DecodeUint8()
+		kind, err = dec.DecodeUint8()
 		e.env.Kind = Kind(kind)
 	case keyReply:
-		e.env.Reply, err = e.dec.DecodeBool()
+		e.env.Reply, err = dec.DecodeBool()
 	case keyShard:
-		e.env.Shard, err = e.dec.DecodeString()
+		e.env.Shard, err = dec.DecodeString()
 	case keySnapshot:
-		err = e.fields(e.snapshot)
+		err = msgfields.ReadSnapshot(dec, &e.env.Snapshot)
 	case keyClock:
-		err = e.fields(e.clock)
+		err = msgfields.Read(dec, e.clock)
 	case keyBody:
 		err = e.body()
 	default:
-		err = e.dec.Skip()
-	}
-	return err
-}
-
-func (e *envelopeReader) snapshot(key string) (err error) {
-	switch key {
-	case keyIndexVersion:
-		e.env.Snapshot.IndexVersion, err = e.dec.DecodeUint64()
-	case keyPartitionGeneration:
-		e.env.Snapshot.PartitionGeneration, err = e.dec.DecodeUint64()
-	default:
-		err = e.dec.Skip()
+		err = dec.Skip()
 	}
 	return err
 }
 
-func (e *envelopeReader) clock(key string) (err error) {
+func (e *envelopeReader) clock(dec *msgpack.Decoder, key string) (err error) {
 	switch key {
 	case keyWallNS:
-		e.env.Clock.WallNS, err = e.dec.DecodeInt64()
+		e.env.Clock.WallNS, err = dec.DecodeInt64()
 	case keyLogical:
-		e.env.Clock.Logical, err = e.dec.DecodeUint32()
+		e.env.Clock.Logical, err = dec.DecodeUint32()
 	default:
-		err = e.dec.Skip()
+		err = dec.Skip()
 	}
 	return err
 }
