Dial the VM's own agent at most 400 ms apart

Cause: the pause between dials doubled up to 2 s plus as much jitter, so an entry that started before its agent listened could be without a configuration for up to 4 s of the 6 s that an edit has.

--- a/internal/agentlink/link.go
+++ b/internal/agentlink/link.go
@@ -19,6 +19,10 @@
 const (
 	fetchTimeout = 2 * time.Second
 	inboxSize    = 256
+	// agentRedialMax bounds the pause between dials of the agent, which runs on
+	// the same VM: a refused dial costs little there, and a process without its
+	// agent has no configuration.
+	agentRedialMax = 200 * time.Millisecond
 	// MaxSilence is how long a process stays ready without its agent. After
 	// it, an edit could be in force elsewhere for longer than is promised.
 	MaxSilence = 6 * time.Second
@@ -61,6 +65,7 @@
 		inbox: make(chan input, inboxSize), sections: make(map[string]heldSection),
 	}
 	l.links = wire.NewLinks(proc.Self, proc.WireOptions(l.handle))
+	l.links.RedialMax = agentRedialMax
 	l.guard = newGuard(l)
 	return l
 }
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -28,6 +28,8 @@
 	opts Options
 	// OnPeer, if set, is called for each new connection. It must not block.
 	OnPeer func(*Peer)
+	// RedialMax, if set, takes the place of the longest pause between dials.
+	RedialMax time.Duration
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -116,7 +118,7 @@
 		peer, err := l.dial(ctx, addr)
 		if err != nil {
 			klog.V(2).InfoS("Dial failed", "peer", addr, "err", err)
-			pause = entry.rest(ctx, pause)
+			pause = min(entry.rest(ctx, pause), l.redialMax())
 			continue
 		}
 		pause = redialMin
@@ -124,6 +126,13 @@
 	}
 }
 
+func (l *Links) redialMax() time.Duration {
+	if l.RedialMax > 0 {
+		return l.RedialMax
+	}
+	return redialMax
+}
+
 func (l *Links) dial(ctx context.Context, addr string) (*Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -166,7 +175,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return min(2*pause, redialMax)
+		return 2 * pause
 	case <-e.wake:
 		return redialMin
 	case <-ctx.Done():
