--- /dev/null
+++ b/cmd/medlar-node/main.go
@@ -0,0 +1,57 @@
+// Command medlar-node runs one VM of the system on the users' platform.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/medlarswitch/medlarswitch/internal/command"
+	"github.com/medlarswitch/medlarswitch/internal/extraload"
+	"github.com/medlarswitch/medlarswitch/internal/gateway"
+	"github.com/medlarswitch/medlarswitch/internal/placement"
+	"github.com/medlarswitch/medlarswitch/internal/settings"
+	"github.com/medlarswitch/medlarswitch/platform"
+)
+
+const description = `Settings (TOML):
+
+  vm = "edge-osorno-1"
+  zone = "osorno"
+  callers = "10.0.0.1:8104"      # callers' requests
+  ready = "10.0.0.1:8108"        # readiness check of the balancer
+  admin = "10.0.0.1:7380"        # metrics as text
+  store = "10.200.1.7:8102"      # the platform's object store
+  grace = "6s"                   # from SIGTERM to SIGKILL
+  extra_ratio = 0.2              # further requests to a service, per request
+  extra_slack = 58               # and besides, over all VMs
+  cold_factor = 1.5              # bound of a cold leaf, times its stated rate
+  cold_slack = 5                 # and besides
+  log_verbosity = 0
+
+Without --settings the file is the one that MEDLARSWITCH_CONFIG names.`
+
+func main() {
+	d := command.Daemon{
+		Name: "medlar-node", Usage: "answer callers on the users' platform",
+		Description: description, Load: load,
+	}
+	os.Exit(d.Main())
+}
+
+func load(path string) (func(context.Context) error, int, error) {
+	cfg, err := settings.Load[settings.Node](path)
+	if err != nil {
+		return nil, 0, err
+	}
+	return func(ctx context.Context) error { return run(ctx, cfg) }, cfg.LogVerbosity, nil
+}
+
+func run(ctx context.Context, cfg settings.Node) error {
+	node := gateway.New(gateway.Config{
+		VM: cfg.VM, Callers: cfg.Callers, Ready: cfg.Ready, Admin: cfg.Admin, ReadyPath: platform.ReadyPath,
+		ExtraLoad: extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack},
+		Placement: placement.Config{ColdFactor: cfg.ColdFactor, ColdSlack: cfg.ColdSlack},
+		Grace:     cfg.Grace,
+	}, platform.NewStore(cfg.Store), platform.Codec{})
+	return node.Run(ctx)
+}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -64,6 +64,12 @@
 	return true
 }
 
+// SetBurst changes how many tokens may be saved.
+func (b *Budget) SetBurst(burst float64) {
+	b.config.Burst = burst
+	b.earn(0)
+}
+
 // Tokens returns how many extra attempts could be spent now, for metrics.
 func (b *Budget) Tokens() float64 { return b.all.tokens }
 
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,199 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+)
+
+const (
+	// outageAfter is how long the store must have been failing for its return
+	// to count as the end of an outage. A watch that is cut and resumed is none.
+	outageAfter = 500 * time.Millisecond
+	// returnGrace is how long a leaf whose entry is missing after an outage stays
+	// in use. The platform promises that entries of living leaves are back within
+	// about two seconds of the store's return.
+	returnGrace = 2200 * time.Millisecond
+	// memberLifetime is how long a member counts without refreshing its entry:
+	// three refresh periods.
+	memberLifetime = 3 * MemberRefresh
+)
+
+// MemberRefresh is the time between two refreshes of a member entry.
+const MemberRefresh = 10 * time.Second
+
+// Directory is what one VM knows. It is not safe for concurrent use.
+type Directory struct {
+	configuration *fleet.Configuration
+	leaves        map[fleet.LeafID]fleet.Leaf
+	// lapsed holds until when leaves that went missing in an outage are in use.
+	lapsed     map[fleet.LeafID]time.Duration
+	evacuated  map[fleet.Zone]bool
+	members    map[string]member
+	membersSet bool
+
+	// failingSince is when the store stopped answering; away is true since then.
+	failingSince time.Duration
+	away         bool
+	// graceUntil is until when missing leaves count as lapsed.
+	graceUntil time.Duration
+}
+
+type member struct {
+	refresh uint64
+	seen    time.Duration
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		leaves:    make(map[fleet.LeafID]fleet.Leaf),
+		lapsed:    make(map[fleet.LeafID]time.Duration),
+		evacuated: make(map[fleet.Zone]bool),
+		members:   make(map[string]member),
+	}
+}
+
+// StoreFailed takes in that a call for the leaves failed.
+func (d *Directory) StoreFailed(now time.Duration) {
+	if !d.away {
+		d.away = true
+		d.failingSince = now
+	}
+}
+
+// StoreAnswered takes in that a call for the leaves succeeded. It must come
+// before the events of that call. It reports whether an outage ended.
+func (d *Directory) StoreAnswered(now time.Duration) bool {
+	ended := d.away && now-d.failingSince >= outageAfter
+	d.away = false
+	if ended {
+		d.graceUntil = now + returnGrace
+	}
+	return ended
+}
+
+// Listed replaces everything known of a kind.
+func (d *Directory) Listed(now time.Duration, kind Kind, events []Event) {
+	switch kind {
+	case KindLeaves:
+		d.removeUnlisted(now, events)
+	case KindEvacuations:
+		clear(d.evacuated)
+	case KindMembers:
+		d.membersSet = true
+		d.removeMembers(events)
+	}
+	for _, event := range events {
+		d.Changed(now, event)
+	}
+}
+
+// Changed takes in one change.
+func (d *Directory) Changed(now time.Duration, event Event) {
+	switch ev := event.(type) {
+	case ConfigurationSet:
+		if d.configuration == nil || ev.Configuration.Version > d.configuration.Version {
+			d.configuration = ev.Configuration
+		}
+	case LeafSet:
+		d.leaves[ev.Leaf.ID] = ev.Leaf
+		delete(d.lapsed, ev.Leaf.ID)
+	case LeafRemoved:
+		d.removeLeaf(now, ev.ID)
+	case Unreadable:
+		d.drop(fleet.LeafID(ev.Name))
+	case EvacuationSet:
+		d.evacuated[ev.Zone] = true
+	case EvacuationRemoved:
+		delete(d.evacuated, ev.Zone)
+	case MemberSet:
+		if m, ok := d.members[ev.VM]; !ok || m.refresh != ev.Refresh {
+			d.members[ev.VM] = member{refresh: ev.Refresh, seen: now}
+		}
+	case MemberRemoved:
+		delete(d.members, ev.VM)
+	}
+}
+
+// Expire ends the grace of lapsed leaves and reports whether any was dropped.
+func (d *Directory) Expire(now time.Duration) bool {
+	dropped := false
+	for id, until := range d.lapsed {
+		if now >= until {
+			d.drop(id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Configuration returns the version in force, or nil.
+func (d *Directory) Configuration() *fleet.Configuration { return d.configuration }
+
+// Leaves returns the leaves in use. The map must not be changed.
+func (d *Directory) Leaves() map[fleet.LeafID]fleet.Leaf { return d.leaves }
+
+// Evacuated returns the zones that get no requests. The map must not be changed.
+func (d *Directory) Evacuated() map[fleet.Zone]bool { return d.evacuated }
+
+// Members returns how many VMs refreshed their entry lately, or false before
+// the first listing.
+func (d *Directory) Members(now time.Duration) (int, bool) {
+	if !d.membersSet {
+		return 0, false
+	}
+	n := 0
+	for _, m := range d.members {
+		if now-m.seen <= memberLifetime {
+			n++
+		}
+	}
+	return n, true
+}
+
+func (d *Directory) removeUnlisted(now time.Duration, events []Event) {
+	listed := make(map[fleet.LeafID]bool, len(events))
+	for _, event := range events {
+		if ev, ok := event.(LeafSet); ok {
+			listed[ev.Leaf.ID] = true
+		}
+	}
+	for id := range d.leaves {
+		if !listed[id] {
+			d.removeLeaf(now, id)
+		}
+	}
+}
+
+func (d *Directory) removeMembers(events []Event) {
+	listed := make(map[string]bool, len(events))
+	for _, event := range events {
+		if ev, ok := event.(MemberSet); ok {
+			listed[ev.VM] = true
+		}
+	}
+	for vm := range d.members {
+		if !listed[vm] {
+			delete(d.members, vm)
+		}
+	}
+}
+
+// removeLeaf drops a leaf, or marks it as lapsed while an outage explains why
+// its entry is missing.
+func (d *Directory) removeLeaf(now time.Duration, id fleet.LeafID) {
+	leaf, known := d.leaves[id]
+	if !known || leaf.Leaving || now >= d.graceUntil {
+		d.drop(id)
+		return
+	}
+	if _, ok := d.lapsed[id]; !ok {
+		d.lapsed[id] = d.graceUntil
+	}
+}
+
+func (d *Directory) drop(id fleet.LeafID) {
+	delete(d.leaves, id)
+	delete(d.lapsed, id)
+}
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -134,7 +134,7 @@
 
 // TrySpend implements query.Budget. A move counts as a retry: although it
 // adds no load to leaves, many at once would overload the relays.
-func (c classBudget) TrySpend(kind query.Kind) bool {
+func (c classBudget) TrySpend(_ topology.ShardID, kind query.Kind) bool {
 	p := c.policy
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/extraload/ledger.go
@@ -0,0 +1,81 @@
+package extraload
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/budget"
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+)
+
+// Config is the bound over all VMs.
+type Config struct {
+	// Ratio is the extra requests per request.
+	Ratio float64
+	// Slack is how many extra requests a service bears besides in a window.
+	Slack float64
+}
+
+const (
+	// soloBurst is the part of the slack of a VM that does not know the others.
+	soloBurst = 1
+	// joiningMembers is how many VMs may have joined since the members were read.
+	joiningMembers = 1
+)
+
+// Ledger holds one budget per service. It is not safe for concurrent use.
+type Ledger struct {
+	config  Config
+	members int
+	budgets map[fleet.ServiceName]*budget.Budget
+}
+
+// New returns a ledger of a VM that does not know the others yet.
+func New(config Config) *Ledger {
+	return &Ledger{config: config, budgets: make(map[fleet.ServiceName]*budget.Budget)}
+}
+
+// SetMembers takes in how many VMs share the bound; 0 means unknown.
+func (l *Ledger) SetMembers(n int) {
+	if n == l.members {
+		return
+	}
+	l.members = n
+	for _, b := range l.budgets {
+		b.SetBurst(l.burst())
+	}
+}
+
+// Request counts a caller's request for a service.
+func (l *Ledger) Request(now time.Duration, service fleet.ServiceName) {
+	l.of(service).OnFirst(now)
+}
+
+// TrySpend takes one further send to a service and reports whether it fits.
+func (l *Ledger) TrySpend(now time.Duration, service fleet.ServiceName, kind budget.Kind) bool {
+	return l.of(service).TrySpend(now, kind)
+}
+
+// Retain drops the budgets of services that the configuration does not have.
+func (l *Ledger) Retain(c *fleet.Configuration) {
+	for name := range l.budgets {
+		if _, ok := c.Services[name]; !ok {
+			delete(l.budgets, name)
+		}
+	}
+}
+
+func (l *Ledger) of(service fleet.ServiceName) *budget.Budget {
+	b := l.budgets[service]
+	if b == nil {
+		b = budget.New(budget.Config{Share: l.config.Ratio, Burst: l.burst()})
+		l.budgets[service] = b
+	}
+	return b
+}
+
+func (l *Ledger) burst() float64 {
+	if l.members == 0 {
+		return soloBurst
+	}
+	return max(l.config.Slack/float64(l.members+joiningMembers), soloBurst)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/leafconn"
+	"github.com/medlarswitch/medlarswitch/internal/placement"
+	"github.com/medlarswitch/medlarswitch/internal/query"
+)
+
+// stragglerTime is how long a request whose reply is no longer wanted may run on,
+// so that its connection can be used again. A pause of a leaf ends within it.
+const stragglerTime = 250 * time.Millisecond
+
+// attempt is one request to a leaf.
+type attempt struct {
+	id      uint64
+	service fleet.ServiceName
+	leaf    fleet.LeafID
+	began   time.Duration
+	cancel  context.CancelFunc
+	reply   *leafconn.Reply
+	info    LeafInfo
+	// ended is true when the run has taken in the end of the attempt.
+	ended bool
+}
+
+// result is the end of an attempt.
+type result struct {
+	attempt *attempt
+	reply   *leafconn.Reply
+	info    LeafInfo
+	err     error
+	// local is true when nothing was sent because of this VM alone.
+	local bool
+}
+
+// errUnusable is a leaf that became unusable after it was chosen.
+var errUnusable = errors.New("the leaf cannot get a request now")
+
+// start sends a request to a leaf. The result goes to the run's channel, which
+// has room for all of them.
+func (r *run) start(send query.Send) {
+	n := r.node
+	a := &attempt{id: send.Attempt, service: fleet.ServiceName(send.Shard), leaf: fleet.LeafID(send.Leaf)}
+	r.attempts = append(r.attempts, a)
+	n.mu.Lock()
+	now := n.now()
+	a.began = now
+	pool := n.pool(a.leaf)
+	usable := pool != nil && n.table.Usable(now, a.leaf)
+	if usable {
+		n.table.Begin(now, a.leaf)
+	}
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	if !usable {
+		r.results <- result{attempt: a, err: errUnusable, local: true}
+		return
+	}
+	n.metrics.leafSends.Inc(1)
+	if send.Kind != query.KindFirst {
+		n.metrics.extraSends.Inc(1)
+	}
+	go r.exchange(ctx, a, pool)
+}
+
+func (r *run) exchange(ctx context.Context, a *attempt, pool *leafconn.Pool) {
+	n, c := r.node, r.call
+	deadline := c.began.Add(c.deadline())
+	request := c.request
+	request.Header = n.codec.Addressed(c.request.Header, c.info.RequestID, a.leaf, time.Until(deadline))
+	reply, err := pool.Exchange(ctx, &request, deadline, func(h http.Header) bool {
+		id := n.codec.Leaf(0, h).RequestID
+		return id == "" || id == c.info.RequestID
+	})
+	out := result{attempt: a, reply: reply, err: err}
+	if reply != nil {
+		out.info = n.codec.Leaf(reply.Status, reply.Header)
+	}
+	n.ended(ctx, a, c.route.Name, &out)
+	r.results <- out
+}
+
+// ended tells the decisions how an attempt ended.
+func (n *Node) ended(ctx context.Context, a *attempt, route string, out *result) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	outcome := outcomeOf(ctx, out)
+	n.table.End(now, a.leaf, route, a.began, outcome)
+	if outcome == placement.Replied {
+		n.delays.Observe(delayKey(route), now-a.began)
+		n.metrics.leafLatency.Update((now - a.began).Milliseconds())
+	} else {
+		n.metrics.leafFailures.Inc(1)
+	}
+	if out.reply != nil {
+		n.table.Stated(now, a.leaf, out.info.Load, out.info.HasLoad, out.info.ColdFor)
+	}
+}
+
+func outcomeOf(ctx context.Context, out *result) placement.Outcome {
+	var failure *leafconn.Error
+	switch {
+	case ctx.Err() != nil:
+		return placement.Abandoned
+	case errors.As(out.err, &failure) && !failure.Sent:
+		return placement.Unreachable
+	case errors.As(out.err, &failure) && !failure.Lost:
+		return placement.TimedOut
+	case out.err != nil:
+		return placement.Failed
+	case out.info.OtherRun:
+		return placement.Replaced
+	case out.info.NotRun:
+		return placement.Refused
+	case out.reply.Status >= http.StatusInternalServerError || out.info.Receipt == "":
+		return placement.Failed
+	}
+	return placement.Replied
+}
+
+// event tells the query machine how an attempt ended.
+func (r *run) event(out *result) query.Event {
+	a := out.attempt
+	var failure *leafconn.Error
+	switch {
+	case out.err == nil && r.accepts(out):
+		return query.Reply{Attempt: a.id, Leaf: shardLeaf(a.leaf), Shard: shardOf(a.service)}
+	case out.err == nil && out.info.NotRun:
+		return query.Failed{Attempt: a.id, Reason: errs.ReasonShed, NotRun: true}
+	case out.err == nil:
+		return query.Failed{Attempt: a.id, Reason: errs.ReasonInternal}
+	case out.local:
+		return query.Failed{Attempt: a.id, Reason: errs.ReasonNoLeaf, NotRun: true}
+	case errors.As(out.err, &failure) && !failure.Sent:
+		return query.Failed{Attempt: a.id, Reason: errs.ReasonDown, NotRun: true}
+	case errors.As(out.err, &failure) && !failure.Lost:
+		return query.Failed{Attempt: a.id, Reason: errs.ReasonDeadline}
+	}
+	return query.Failed{Attempt: a.id, Reason: errs.ReasonConnectionLost, Crash: true}
+}
+
+// accepts reports whether a reply answers the request. A failure of a leaf that
+// the caller has to deal with is an answer to a request for one leaf.
+func (r *run) accepts(out *result) bool {
+	if out.info.Receipt == "" || out.info.NotRun || out.info.Encoded && r.call.route.Gathers() {
+		return false
+	}
+	if r.call.route.Gathers() {
+		return out.reply.Status == http.StatusOK
+	}
+	return out.reply.Status < http.StatusInternalServerError
+}
+
+// logEnd writes one line for an attempt that ended badly.
+func (r *run) logEnd(out *result) {
+	a := out.attempt
+	took := r.node.now() - a.began
+	if out.err != nil {
+		klog.InfoS("Leaf request failed", "request", r.call.info.RequestID, "leaf", a.leaf, "service", a.service,
+			"took", took, "local", out.local, "err", out.err)
+		return
+	}
+	if !r.accepts(out) {
+		klog.InfoS("Leaf reply not accepted", "request", r.call.info.RequestID, "leaf", a.leaf, "service", a.service,
+			"took", took, "status", out.reply.Status, "notRun", out.info.NotRun, "receipt", out.info.Receipt != "")
+	}
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,21 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/extraload"
+	"github.com/medlarswitch/medlarswitch/internal/placement"
+)
+
+// Config is what a VM knows from its settings.
+type Config struct {
+	VM string
+	// Callers, Ready and Admin are the addresses to listen on.
+	Callers, Ready, Admin string
+	// ReadyPath is the path of the readiness check.
+	ReadyPath string
+	ExtraLoad extraload.Config
+	Placement placement.Config
+	// Grace is the time from the stop signal to the kill.
+	Grace time.Duration
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/leafconn"
+)
+
+const (
+	// startingRetry is when a caller may come back to a node without a
+	// configuration: another node most likely has one.
+	startingRetry = 50 * time.Millisecond
+	// deadlineMargin is kept of the caller's time to bring it the answer.
+	deadlineMargin = 4 * time.Millisecond
+	// maxBodyBytes bounds a body where the configuration states no bound.
+	maxBodyBytes = 1 << 20
+)
+
+// call is one request of a caller.
+type call struct {
+	info    CallerInfo
+	conf    *fleet.Configuration
+	route   *fleet.Route
+	began   time.Time
+	request leafconn.Request
+}
+
+// deadline is when the caller gets an answer in any case.
+func (c *call) deadline() time.Duration {
+	left := c.route.Timeout
+	if c.info.TimeLeft > 0 && (left <= 0 || c.info.TimeLeft < left) {
+		left = c.info.TimeLeft
+	}
+	return max(left-deadlineMargin, deadlineMargin)
+}
+
+// serve answers one request of a caller.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	n.metrics.requests.Inc(1)
+	if n.drain.Draining() {
+		// The caller's next request goes to another node.
+		w.Header().Set("Connection", "close")
+	}
+	info := n.codec.Caller(r.Header)
+	conf := n.inForce.Load()
+	if conf == nil {
+		n.refuse(w, info, http.StatusServiceUnavailable, startingRetry, "no configuration yet")
+		return
+	}
+	route := conf.Find(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		n.refuse(w, info, http.StatusNotFound, 0, "no route for "+r.Host+r.URL.EscapedPath())
+		return
+	}
+	body, status, err := readBody(r, conf.Limits.MaxBodyBytes)
+	if err != nil {
+		n.refuse(w, info, status, 0, err.Error())
+		return
+	}
+	c := &call{info: info, conf: conf, route: route, began: began, request: leafconn.Request{
+		Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: n.codec.Forwarded(r.Header),
+		Body: body, HasBody: r.ContentLength != 0 || len(body) > 0 || r.Header.Get("Content-Length") != "",
+	}}
+	n.run(w, r, c)
+}
+
+// readBody reads a request's body, which net/http bounds by its framing.
+func readBody(r *http.Request, limit int64) ([]byte, int, error) {
+	if r.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("the body has %d bytes, more than %d", r.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, http.StatusBadRequest, errors.Wrap(err, "read the body")
+	}
+	if int64(len(body)) > limit {
+		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("the body has more than %d bytes", limit)
+	}
+	return body, 0, nil
+}
+
+// refuse answers a request that did not run and will not.
+func (n *Node) refuse(w http.ResponseWriter, info CallerInfo, status int, after time.Duration, why string) {
+	n.metrics.refused.Inc(1)
+	klog.InfoS("Refused", "request", info.RequestID, "status", status, "retryAfter", after, "why", why)
+	n.codec.Refusal(w.Header(), info.RequestID, after)
+	http.Error(w, why, status)
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+)
+
+// Sizes of the latency samples, as in the library's documentation.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// nodeMetrics are the counters and latency histograms of a node. Times are in
+// milliseconds.
+type nodeMetrics struct {
+	registry metrics.Registry
+
+	requests, answered, partial, refused, failed, gone metrics.Counter
+	leafSends, extraSends, leafFailures                metrics.Counter
+	storeCalls, storeErrors                            metrics.Counter
+	latency, leafLatency                               metrics.Histogram
+}
+
+func newNodeMetrics(r metrics.Registry) *nodeMetrics {
+	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter(name, r) }
+	histogram := func(name string) metrics.Histogram {
+		return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return &nodeMetrics{
+		registry: r, requests: counter("requests_total"), answered: counter("requests_answered_total"),
+		partial: counter("requests_partial_total"), refused: counter("requests_refused_total"),
+		failed: counter("requests_failed_total"), gone: counter("requests_caller_gone_total"),
+		leafSends: counter("leaf_requests_total"), extraSends: counter("leaf_requests_extra_total"),
+		leafFailures: counter("leaf_failures_total"),
+		storeCalls:   counter("store_calls_total"), storeErrors: counter("store_errors_total"),
+		latency: histogram("request_ms"), leafLatency: histogram("leaf_request_ms"),
+	}
+}
+
+// ServeHTTP writes the metrics as text, one a line.
+func (m *nodeMetrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	var lines []string
+	m.registry.Each(func(name string, metric any) {
+		switch v := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Histogram:
+			s := v.Snapshot()
+			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
+			for _, q := range []float64{0.5, 0.9, 0.99} {
+				lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g", name, q, s.Percentile(q)))
+			}
+		}
+	})
+	sort.Strings(lines)
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			klog.V(1).InfoS("The reader of the metrics left", "err", err)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/node.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/medlarswitch/medlarswitch/internal/directory"
+	"github.com/medlarswitch/medlarswitch/internal/extraload"
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/latency"
+	"github.com/medlarswitch/medlarswitch/internal/leafconn"
+	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
+	"github.com/medlarswitch/medlarswitch/internal/placement"
+)
+
+// Node is one VM. Its decisions are guarded by mu.
+type Node struct {
+	config  Config
+	store   Store
+	codec   Codec
+	started time.Time
+	drain   *lifecycle.Drain
+	metrics *nodeMetrics
+
+	// inForce is the configuration that requests are handled by.
+	inForce atomic.Pointer[fleet.Configuration]
+
+	mu        sync.Mutex
+	directory *directory.Directory
+	table     *placement.Table
+	ledger    *extraload.Ledger
+	splitter  *fleet.Splitter
+	delays    *latency.Table
+	pools     map[fleet.LeafID]*pooled
+}
+
+// pooled is the connection pool of one run of a leaf.
+type pooled struct {
+	addr    string
+	started int64
+	pool    *leafconn.Pool
+}
+
+// New returns a node that does not serve yet.
+func New(config Config, store Store, codec Codec) *Node {
+	return &Node{
+		config: config, store: store, codec: codec, started: time.Now(),
+		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry()),
+		directory: directory.New(), table: placement.New(config.Placement),
+		ledger: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(),
+		delays: latency.NewTable(), pools: make(map[fleet.LeafID]*pooled),
+	}
+}
+
+// now is the monotonic time that decisions work with.
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+// leafDialTimeout bounds a new connection to a leaf. The leaf's handshake and
+// the way between zones take some 20 ms; one lost packet is sent again after
+// 200 ms or more, when another leaf is the better choice.
+const leafDialTimeout = 150 * time.Millisecond
+
+func dialLeaf(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: leafDialTimeout, KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// pool returns the connections to a leaf. The caller holds mu.
+func (n *Node) pool(id fleet.LeafID) *leafconn.Pool {
+	leaf, ok := n.directory.Leaves()[id]
+	if !ok {
+		return nil
+	}
+	held := n.pools[id]
+	if held != nil && held.addr == leaf.Address && held.started == leaf.Started {
+		return held.pool
+	}
+	if held != nil {
+		go held.pool.Close()
+	}
+	held = &pooled{addr: leaf.Address, started: leaf.Started, pool: leafconn.NewPool(leaf.Address, dialLeaf)}
+	n.pools[id] = held
+	return held.pool
+}
+
+// refresh hands what the directory holds to the other decisions. The caller
+// holds mu.
+func (n *Node) refresh(kind directory.Kind) {
+	now := n.now()
+	switch kind {
+	case directory.KindConfiguration:
+		c := n.directory.Configuration()
+		if c == nil || c == n.inForce.Load() {
+			return
+		}
+		n.table.SetConfiguration(c)
+		n.ledger.Retain(c)
+		n.splitter.Retain(c)
+		n.inForce.Store(c)
+	case directory.KindLeaves:
+		n.table.SetLeaves(now, n.directory.Leaves())
+		n.closePools()
+	case directory.KindEvacuations:
+		n.table.SetEvacuated(n.directory.Evacuated())
+	case directory.KindMembers:
+		members, _ := n.directory.Members(now)
+		n.table.SetMembers(members)
+		n.ledger.SetMembers(members)
+	}
+}
+
+// closePools closes the connections to leaves that are gone.
+func (n *Node) closePools() {
+	leaves := n.directory.Leaves()
+	for id, held := range n.pools {
+		if _, ok := leaves[id]; !ok {
+			delete(n.pools, id)
+			go held.pool.Close()
+		}
+	}
+}
+
+// ready reports whether new callers should be sent here.
+func (n *Node) ready() bool { return n.inForce.Load() != nil && !n.drain.Draining() }
--- /dev/null
+++ b/internal/gateway/respond.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/merge"
+	"github.com/medlarswitch/medlarswitch/internal/query"
+)
+
+// refusalRetry is when a caller may come back after a request that no leaf could
+// take here: about the time in which a queue of a few requests empties.
+const refusalRetry = 60 * time.Millisecond
+
+// finish answers the caller.
+func (r *run) finish(w http.ResponseWriter, req *http.Request, answer query.Answer) {
+	n, route := r.node, r.call.route
+	took := time.Since(r.call.began)
+	n.metrics.latency.Update(took.Milliseconds())
+	least := leastParts(route.MinCoverage, len(route.Shards))
+	switch {
+	case answer.Err == errs.ReasonCancelled:
+		n.metrics.gone.Inc(1)
+		r.log("Caller left", 0, took, answer)
+		// Nobody reads the answer; this only ends the connection.
+		panic(http.ErrAbortHandler)
+	case route.Gathers() && answer.Covered >= least:
+		r.answerMerged(w, answer)
+		r.log("Answered", http.StatusOK, took, answer)
+	case !route.Gathers() && len(r.merged) > 0:
+		r.pass(w, r.merged[0])
+		r.log("Answered", r.merged[0].reply.Status, took, answer)
+	case r.failure != nil && !route.Gathers():
+		r.pass(w, r.failure.attempt)
+		n.metrics.failed.Inc(1)
+		r.log("Passed on a failure", r.failure.reply.Status, took, answer)
+	default:
+		r.fail(w, took, answer)
+	}
+}
+
+// answerMerged writes the greatest records of the merged parts.
+func (r *run) answerMerged(w http.ResponseWriter, answer query.Answer) {
+	n, route := r.node, r.call.route
+	top := merge.NewTop(route.TopK)
+	receipts := make([]string, 0, len(r.merged))
+	for _, a := range r.merged {
+		receipts = append(receipts, a.info.Receipt)
+		top.Add(a.reply.Body)
+	}
+	body := top.Bytes()
+	n.metrics.answered.Inc(1)
+	if len(answer.Missing) > 0 {
+		n.metrics.partial.Inc(1)
+	}
+	n.codec.Merged(w.Header(), r.call.info.RequestID, receipts, len(answer.Missing))
+	r.write(w, http.StatusOK, body)
+}
+
+// pass writes a leaf's reply unchanged.
+func (r *run) pass(w http.ResponseWriter, a *attempt) {
+	r.node.metrics.answered.Inc(1)
+	for name, values := range r.node.codec.Reply(a.reply.Header) {
+		w.Header()[name] = values
+	}
+	if _, ok := w.Header()["Content-Type"]; !ok {
+		// Without it net/http would add one of its own.
+		w.Header()["Content-Type"] = nil
+	}
+	r.write(w, a.reply.Status, a.reply.Body)
+}
+
+func (r *run) write(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		klog.InfoS("The caller did not take its answer", "request", r.call.info.RequestID, "err", err)
+	}
+}
+
+// fail answers a request that got no reply. A refusal says that it did not run.
+func (r *run) fail(w http.ResponseWriter, took time.Duration, answer query.Answer) {
+	n := r.node
+	status, after := http.StatusServiceUnavailable, refusalRetry
+	if r.mayHaveRun || len(r.merged) > 0 || r.pending() {
+		status, after = http.StatusBadGateway, 0
+		if took >= r.call.deadline() {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	if status == http.StatusServiceUnavailable {
+		n.metrics.refused.Inc(1)
+	} else {
+		n.metrics.failed.Inc(1)
+	}
+	n.codec.Refusal(w.Header(), r.call.info.RequestID, after)
+	http.Error(w, string(answer.Err), status)
+	r.log("Not answered", status, took, answer)
+}
+
+// pending reports whether an attempt was sent whose end is not known.
+func (r *run) pending() bool {
+	for _, a := range r.attempts {
+		if !a.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// log writes the line of one request.
+func (r *run) log(what string, status int, took time.Duration, answer query.Answer) {
+	c := r.machine.Counters()
+	klog.InfoS(what, "request", r.call.info.RequestID, "route", r.call.route.Name, "version", r.call.conf.Version,
+		"status", status, "took", took, "timeLeft", r.call.info.TimeLeft,
+		"covered", answer.Covered, "of", answer.Total, "missing", answer.Missing,
+		"sends", len(r.attempts), "hedges", c.Hedges, "retries", c.Retries, "moves", c.Moves, "denied", c.Denied)
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/budget"
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/query"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+)
+
+const (
+	// answerMargin is kept of the latency target for the way to the caller and
+	// back and for merging.
+	answerMargin = 20 * time.Millisecond
+	// hedgeMin and hedgeMax bound the wait before a second request as parts of the
+	// latency target: earlier ones cost the budget of real stragglers, later ones
+	// are of no use.
+	hedgeMin = 1.0 / 8
+	hedgeMax = 1.0 / 3
+	// manyCrashes lets a query go on after lost connections, which have many
+	// causes besides a crash.
+	manyCrashes = 1 << 20
+)
+
+// run is one request on its way through the leaves. One goroutine owns it.
+type run struct {
+	node     *Node
+	call     *call
+	machine  *query.Machine
+	attempts []*attempt
+	results  chan result
+	merged   []*attempt
+	// mayHaveRun is true when an attempt ended without saying that it did not run.
+	mayHaveRun bool
+	// failure is the last failure that a leaf replied with.
+	failure *result
+	// free is true while the machine handles an attempt that never left this VM.
+	free bool
+}
+
+// run carries one request to the leaves and answers it.
+func (n *Node) run(w http.ResponseWriter, r *http.Request, c *call) {
+	shards := c.route.Shards
+	if !c.route.Gathers() {
+		shards = []fleet.ServiceName{n.serviceOf(c.route)}
+	}
+	out := &run{node: n, call: c, results: make(chan result, len(shards)*max(c.route.Attempts, 1)+1)}
+	out.machine = query.New(out.params(len(shards)), n.plan(c.route, shards))
+	answer := out.loop(r.Context())
+	out.finish(w, r, answer)
+}
+
+// serviceOf returns the service of a request for one leaf.
+func (n *Node) serviceOf(route *fleet.Route) fleet.ServiceName {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.splitter.Next(route)
+}
+
+func (r *run) params(shards int) query.Params {
+	route := r.call.route
+	p := query.Params{
+		Prefer: topology.PreferLatency, Deadline: r.call.deadline(),
+		MaxAttempts: route.Attempts, MaxCrashes: manyCrashes, NoRepeats: true,
+		MinCovered: 1, AtMostOnce: !route.Idempotent,
+	}
+	if route.Gathers() {
+		p.LatencyTarget = max(route.LatencyTarget-answerMargin, route.LatencyTarget/2)
+		p.MinCovered = leastParts(route.MinCoverage, shards)
+	}
+	return p
+}
+
+// leastParts is the number of shards that an answer must cover.
+func leastParts(share float64, shards int) uint64 {
+	n := uint64(0)
+	for n < uint64(shards) && float64(n) < share*float64(shards)-1e-9 {
+		n++
+	}
+	return max(n, 1)
+}
+
+// plan orders the leaves of each shard and counts the request.
+func (n *Node) plan(route *fleet.Route, shards []fleet.ServiceName) query.Plan {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	plan := query.Plan{Shards: make([]query.ShardPlan, len(shards))}
+	after := n.hedgeAfter(route)
+	for i, service := range shards {
+		n.ledger.Request(now, service)
+		choices := n.table.Choices(now, service, route.Name)
+		shard := query.ShardPlan{Shard: shardOf(service), Weight: 1, Unavailable: errs.ReasonNoLeaf}
+		for _, choice := range choices {
+			shard.Candidates = append(shard.Candidates, query.Candidate{
+				Leaf: shardLeaf(choice.ID), Warm: choice.Sound, HedgeAfter: after,
+			})
+		}
+		plan.Shards[i] = shard
+	}
+	return plan
+}
+
+// hedgeAfter is how long a leaf may take before a second one is asked. The
+// caller holds mu.
+func (n *Node) hedgeAfter(route *fleet.Route) time.Duration {
+	if !route.Idempotent {
+		return 0
+	}
+	low := time.Duration(hedgeMin * float64(route.LatencyTarget))
+	high := time.Duration(hedgeMax * float64(route.LatencyTarget))
+	delay, ok := n.delays.HedgeDelay(delayKey(route.Name))
+	if !ok {
+		return high
+	}
+	return min(max(delay, low), high)
+}
+
+// loop feeds the query machine until it has an answer.
+func (r *run) loop(ctx context.Context) query.Answer {
+	n := r.node
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	actions := r.machine.Start(n.now())
+	done := ctx.Done()
+	for {
+		if answer, finished := r.carryOut(actions, timer); finished {
+			return answer
+		}
+		select {
+		case out := <-r.results:
+			r.took(&out)
+			actions = r.step(r.event(&out), out.local)
+		case <-timer.C:
+			actions = r.step(query.Timer{}, false)
+		case <-done:
+			done = nil
+			actions = r.step(query.CallerGone{}, false)
+		}
+	}
+}
+
+// took notes what an attempt's end means for the answer.
+func (r *run) took(out *result) {
+	out.attempt.reply, out.attempt.info, out.attempt.ended = out.reply, out.info, true
+	if out.err == nil && r.accepts(out) {
+		return
+	}
+	r.logEnd(out)
+	if failed, ok := r.event(out).(query.Failed); ok && !failed.NotRun {
+		r.mayHaveRun = true
+	}
+	if out.err == nil && !out.info.NotRun && out.info.Receipt != "" {
+		r.failure = out
+	}
+}
+
+func (r *run) step(event query.Event, free bool) []query.Action {
+	r.node.mu.Lock()
+	defer r.node.mu.Unlock()
+	r.free = free
+	return r.machine.Step(r.node.now(), event, r)
+}
+
+// TrySpend implements query.Budget. The caller holds mu.
+func (r *run) TrySpend(shard topology.ShardID, kind query.Kind) bool {
+	if r.free && kind == query.KindMove {
+		return true
+	}
+	spend := budget.KindRetry
+	if kind == query.KindHedge {
+		spend = budget.KindHedge
+	}
+	return r.node.ledger.TrySpend(r.node.now(), fleet.ServiceName(shard), spend)
+}
+
+// carryOut executes actions and returns the answer when there is one.
+func (r *run) carryOut(actions []query.Action, timer *time.Timer) (answer query.Answer, finished bool) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case query.Send:
+			r.start(a)
+		case query.Merge:
+			r.merged = append(r.merged, r.attempts[a.Attempt-1])
+		case query.Abort:
+			r.abort(r.attempts[a.Attempt-1], answer.Err == errs.ReasonCancelled)
+		case query.WakeAt:
+			timer.Reset(a.At - r.node.now())
+		case query.Finish:
+			answer, finished = a.Answer, true
+		}
+	}
+	return answer, finished
+}
+
+// abort gives an attempt up. One whose caller left ends at once; another may run
+// on for a while, so that its connection can be used again.
+func (r *run) abort(a *attempt, atOnce bool) {
+	if atOnce {
+		a.cancel()
+		return
+	}
+	time.AfterFunc(stragglerTime, a.cancel)
+}
+
+// Shards and leaves of a platform are services and registered leaves; the query
+// machine knows them by the product's own names.
+func shardOf(s fleet.ServiceName) topology.ShardID { return topology.ShardID(s) }
+func shardLeaf(id fleet.LeafID) topology.LeafID    { return topology.LeafID(id) }
+func delayKey(route string) topology.ShardID       { return topology.ShardID(route) }
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/directory"
+)
+
+const (
+	// unreadyDelay is how long a stopping node still accepts connections. The
+	// balancer asks each second and takes a node out after two misses.
+	unreadyDelay = 2500 * time.Millisecond
+	// stopMargin is kept of the grace time to end before the kill.
+	stopMargin = 300 * time.Millisecond
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 10 * time.Second
+	// housekeeping is the time between two looks at what has expired.
+	housekeeping = 200 * time.Millisecond
+)
+
+// Run serves until the context is done, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	// What follows the store outlives the stop signal: requests are served and
+	// configurations come into force while the node drains.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	connections := newCallerConns(n)
+	callers := &http.Server{
+		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, ConnState: connections.changed,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	admin := &http.Server{Handler: n.metrics, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 3)
+	for addr, server := range map[string]*http.Server{n.config.Callers: callers, n.config.Ready: ready, n.config.Admin: admin} {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", addr)
+		}
+		go func() { failed <- server.Serve(ln) }()
+	}
+	for _, kind := range []directory.Kind{directory.KindConfiguration, directory.KindLeaves, directory.KindEvacuations} {
+		go n.follow(work, kind)
+	}
+	go n.stayMember(work)
+	go n.housekeep(work, connections)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	n.stop(work, callers)
+	return nil
+}
+
+// stop fails readiness, goes on serving until the balancer has noticed, and
+// then waits for requests that are running.
+func (n *Node) stop(ctx context.Context, callers *http.Server) {
+	began := time.Now()
+	n.drain.Begin()
+	klog.InfoS("Stopping", "grace", n.config.Grace)
+	n.leave(ctx)
+	rest(ctx, min(unreadyDelay, n.config.Grace/2)-time.Since(began))
+	ctx, cancel := context.WithTimeout(ctx, n.config.Grace-stopMargin-time.Since(began))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		klog.InfoS("Requests were still running at the end of the grace time", "err", err)
+	}
+}
+
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(n.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// housekeep ends what has expired.
+func (n *Node) housekeep(ctx context.Context, connections *callerConns) {
+	for ctx.Err() == nil {
+		rest(ctx, housekeeping)
+		connections.closeIdle(time.Now())
+		n.expire()
+	}
+}
+
+func (n *Node) expire() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.directory.Expire(n.now()) {
+		klog.InfoS("Leaves are still missing after the outage and count as gone")
+		n.refresh(directory.KindLeaves)
+	}
+	n.refresh(directory.KindMembers)
+	now := time.Now()
+	for _, held := range n.pools {
+		held.pool.Prune(now)
+	}
+}
--- /dev/null
+++ b/internal/leafconn/exchange.go
@@ -0,0 +1,129 @@
+package leafconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxReplyBytes bounds a reply's body.
+	maxReplyBytes = 8 << 20
+	// maxStrays bounds the replies to other requests that are skipped.
+	maxStrays = 4
+)
+
+// errStrays is a connection on which too many replies belong to other requests.
+var errStrays = errors.New("too many replies to other requests")
+
+// Exchange sends a request and returns the leaf's reply. It ends at the
+// deadline, or when the context is done, by closing the connection. mine tells
+// whether a reply with these headers belongs to the request.
+func (p *Pool) Exchange(ctx context.Context, r *Request, deadline time.Time, mine func(http.Header) bool) (*Reply, error) {
+	dialCtx, cancel := context.WithDeadline(ctx, deadline)
+	c, err := p.get(dialCtx)
+	cancel()
+	if err != nil {
+		return nil, &Error{Step: StepDial, Err: err}
+	}
+	if err := ctx.Err(); err != nil {
+		p.put(c)
+		return nil, &Error{Step: StepDial, Err: err}
+	}
+	stop := context.AfterFunc(ctx, c.close)
+	reply, reusable, err := c.exchange(r, deadline, mine)
+	if stopped := stop(); err == nil && reusable && stopped {
+		p.put(c)
+	} else {
+		c.close()
+	}
+	return reply, err
+}
+
+// exchange writes the request and reads replies until its own arrives. The
+// connection is reusable when nothing of either is left on it.
+func (c *conn) exchange(r *Request, deadline time.Time, mine func(http.Header) bool) (*Reply, bool, error) {
+	if err := c.SetDeadline(deadline); err != nil {
+		return nil, false, &Error{Step: StepWrite, Lost: true, Err: err}
+	}
+	written := make(chan error, 1)
+	text := r.encode()
+	if len(r.Body) < readBuffer {
+		_, err := c.Write(text)
+		if err != nil {
+			return nil, false, &Error{Step: StepWrite, Sent: true, Lost: !isTimeout(err), Err: err}
+		}
+		written <- nil
+	} else {
+		// A leaf may answer before it has read a long body.
+		go func() {
+			_, err := c.Write(text)
+			written <- err
+		}()
+	}
+	reply, reusable, err := c.read(r.Method, mine)
+	if err != nil {
+		return nil, false, &Error{Step: StepRead, Sent: true, Lost: !isTimeout(err), Err: err}
+	}
+	select {
+	case err := <-written:
+		reusable = reusable && err == nil
+	default:
+		reusable = false
+	}
+	if reusable {
+		c.rest(reply.Header)
+	}
+	return reply, reusable, nil
+}
+
+func (c *conn) read(method string, mine func(http.Header) bool) (*Reply, bool, error) {
+	for range maxStrays {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, false, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := readBody(resp)
+		if err != nil {
+			return nil, false, err
+		}
+		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		if mine(resp.Header) {
+			reusable := framed && !resp.Close && c.reader.Buffered() == 0
+			return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
+		}
+		if !framed || resp.Close {
+			return nil, false, io.ErrUnexpectedEOF
+		}
+	}
+	return nil, false, errStrays
+}
+
+func readBody(resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	if resp.ContentLength > maxReplyBytes {
+		return nil, errors.Errorf("the reply has %d bytes, more than %d", resp.ContentLength, maxReplyBytes)
+	}
+	if resp.ContentLength > 0 {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = errors.Errorf("the reply has more than %d bytes", maxReplyBytes)
+	}
+	return body, err
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- /dev/null
+++ b/internal/leafconn/request.go
@@ -0,0 +1,41 @@
+package leafconn
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// Request is one request to a leaf.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HasBody is true when the caller sent a body, even an empty one.
+	HasBody bool
+}
+
+// encode returns the bytes of the request.
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	// A bytes.Buffer returns no errors.
+	_ = r.Header.Write(&b)
+	if r.HasBody {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
--- a/internal/measure/spending.go
+++ b/internal/measure/spending.go
@@ -66,7 +66,7 @@
 }
 
 // TrySpend implements query.Budget.
-func (c classBudget) TrySpend(kind query.Kind) bool {
+func (c classBudget) TrySpend(_ topology.ShardID, kind query.Kind) bool {
 	s, now := c.spending, c.spending.sim.Now
 	spent := budget.KindRetry
 	if kind == query.KindHedge {
--- a/internal/query/budget.go
+++ b/internal/query/budget.go
@@ -1,8 +1,10 @@
 package query
 
+import "github.com/medlarswitch/medlarswitch/internal/topology"
+
 // Budget limits hedges, retries and moves over all queries.
 type Budget interface {
-	// TrySpend takes one send of the kind from the budget and reports
+	// TrySpend takes one send of the kind to a shard from the budget and reports
 	// whether there was room. A granted send always follows.
-	TrySpend(kind Kind) bool
+	TrySpend(shard topology.ShardID, kind Kind) bool
 }
--- a/internal/query/harness_test.go
+++ b/internal/query/harness_test.go
@@ -21,7 +21,7 @@
 // allowance is a Budget with a fixed number of sends.
 type allowance struct{ left int }
 
-func (a *allowance) TrySpend(Kind) bool {
+func (a *allowance) TrySpend(topology.ShardID, Kind) bool {
 	if a.left == 0 {
 		return false
 	}
--- a/internal/query/machine.go
+++ b/internal/query/machine.go
@@ -21,18 +21,23 @@
 	// wake is the next time that matters, armed what the shell was told.
 	wake, armed time.Duration
 
-	covered, total    uint64
-	merged, undecided int
+	// missed is the weight of the shards that are given up.
+	covered, missed, total uint64
+	merged, undecided      int
 	// replans counts the requests for a newer snapshot.
 	replans    int
 	replanning bool
-	// crashed is set by the first crash-like loss; nothing is sent after it.
+	// crashes counts crash-like losses; crashed is set when there were too many,
+	// and nothing is sent after that.
+	crashes int
 	crashed bool
 }
 
 // New returns a machine that has not started.
 func New(params Params, plan Plan) *Machine {
 	params.MaxAttempts = max(params.MaxAttempts, 1)
+	params.MaxCrashes = max(params.MaxCrashes, 1)
+	params.MinCovered = max(params.MinCovered, 1)
 	m := &Machine{params: params, armed: never}
 	m.pin(plan)
 	return m
@@ -98,13 +103,20 @@
 	}
 }
 
-// due reports whether the query has to answer now. A query without coverage
-// waits until the deadline, since a late answer is worth more than none.
+// due reports whether the query has to answer now. A query with too little
+// coverage waits until the deadline, since a late answer is worth more than none,
+// unless the least coverage can no longer be reached.
 func (m *Machine) due(now time.Duration) bool {
-	if m.undecided == 0 || now >= m.deadline {
+	if m.undecided == 0 || now >= m.deadline || m.outOfReach() {
 		return true
 	}
-	return now >= m.target && m.covered > 0
+	return now >= m.target && m.covered >= m.params.MinCovered
+}
+
+// outOfReach reports whether the least coverage cannot be reached any more. The
+// least of 1 is out of reach when nothing is undecided, also with weights of 0.
+func (m *Machine) outOfReach() bool {
+	return m.params.MinCovered > 1 && m.total-m.missed < m.params.MinCovered
 }
 
 // maySend reports whether a send is still of use.
--- a/internal/query/machine_failure.go
+++ b/internal/query/machine_failure.go
@@ -44,8 +44,13 @@
 	return m.attempts[id-1].state != attemptEnded
 }
 
-// crash stops all sends. Requests in flight may finish.
+// crash counts a crash-like loss and stops all sends when there were too many.
+// Requests in flight may finish.
 func (m *Machine) crash() {
+	m.crashes++
+	if m.crashes < m.params.MaxCrashes {
+		return
+	}
 	m.crashed = true
 	m.replanning = false
 	for i := range m.shards {
@@ -85,11 +90,14 @@
 	if s.sends >= m.params.MaxAttempts || !m.maySend(now) {
 		return false
 	}
+	if m.params.AtMostOnce && kind != KindMove {
+		return false
+	}
 	next := s.next(m.plan.Shards[shard].Candidates, kind == KindHedge)
-	if next < 0 && kind == KindHedge {
+	if next < 0 && kind == KindHedge && !m.params.NoRepeats {
 		next = m.sameLeaf(shard)
 	}
-	if next < 0 || !m.spend(kind, budget) {
+	if next < 0 || !m.spend(shard, kind, budget) {
 		return false
 	}
 	m.send(now, shard, next, kind)
@@ -112,8 +120,8 @@
 	return -1
 }
 
-func (m *Machine) spend(kind Kind, budget Budget) bool {
-	if budget == nil || !budget.TrySpend(kind) {
+func (m *Machine) spend(shard int, kind Kind, budget Budget) bool {
+	if budget == nil || !budget.TrySpend(m.plan.Shards[shard].Shard, kind) {
 		m.counters.Denied++
 		return false
 	}
@@ -132,5 +140,6 @@
 	s := &m.shards[shard]
 	s.status = shardMissing
 	s.reason = reason
+	m.missed += m.plan.Shards[shard].Weight
 	m.undecided--
 }
--- a/internal/query/machine_launch.go
+++ b/internal/query/machine_launch.go
@@ -14,7 +14,7 @@
 		m.attempts = make([]attempt, 0, len(plan.Shards)+len(plan.Shards)/4+1)
 		m.out = make([]Action, 0, len(plan.Shards)+2)
 	}
-	m.covered, m.total, m.merged = 0, 0, 0
+	m.covered, m.missed, m.total, m.merged = 0, 0, 0, 0
 	m.undecided = len(plan.Shards)
 	for i := range plan.Shards {
 		m.total += plan.Shards[i].Weight
--- a/internal/query/params.go
+++ b/internal/query/params.go
@@ -20,6 +20,16 @@
 	// MaxAttempts bounds the sends per shard and snapshot, including the
 	// first one; less than 1 means 1.
 	MaxAttempts int
+	// MinCovered is the least weight that an answer before the deadline must
+	// cover; less than 1 means 1.
+	MinCovered uint64
+	// AtMostOnce sends nothing more after an attempt that may have run.
+	AtMostOnce bool
+	// NoRepeats sends no second request to a leaf that has one already.
+	NoRepeats bool
+	// MaxCrashes is the number of crash-like losses after which nothing more is
+	// sent; less than 1 means 1.
+	MaxCrashes int
 	// MaxRestarts bounds how often the query asks for a newer snapshot.
 	MaxRestarts int
 }
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -15,6 +15,7 @@
 		checkParse[Entry](t, text)
 		checkParse[Relay](t, text)
 		checkParse[Agent](t, text)
+		checkParse[Node](t, text)
 	})
 }
 
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/tomldoc"
+)
+
+const (
+	maxRatio  = 10
+	maxSlack  = 1_000_000
+	maxGrace  = 10 * time.Minute
+	maxWarmUp = 100
+)
+
+// Node are the settings of medlar-node.
+type Node struct {
+	// VM and Zone name the machine and its availability zone.
+	VM, Zone string
+	// Callers, Ready and Admin are listeners: for callers, for the balancer's
+	// readiness check, and for metrics.
+	Callers, Ready, Admin string
+	// Store is the address of the platform's object store.
+	Store string
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// ExtraRatio and ExtraSlack bound the further requests to a service, over all
+	// VMs and any window of the platform's length: the ratio of its requests plus
+	// the slack.
+	ExtraRatio, ExtraSlack float64
+	// ColdFactor and ColdSlack bound the requests per second of a cold leaf: the
+	// factor times the rate that its service states plus the slack.
+	ColdFactor, ColdSlack float64
+	LogVerbosity          int
+}
+
+func (n *Node) read(t *tomldoc.Table) {
+	n.VM, _ = t.String("vm")
+	n.Zone, _ = t.String("zone")
+	n.Callers = address(t, "callers")
+	n.Ready = address(t, "ready")
+	n.Admin = address(t, "admin")
+	n.Store = address(t, "store")
+	n.Grace, _ = t.Duration("grace", 0, maxGrace)
+	n.ExtraRatio, _ = t.Float("extra_ratio", 0, maxRatio)
+	n.ExtraSlack, _ = t.Float("extra_slack", 0, maxSlack)
+	n.ColdFactor, _ = t.Float("cold_factor", 0, maxWarmUp)
+	n.ColdSlack, _ = t.Float("cold_slack", 0, maxSlack)
+	verbosity, _ := t.Int("log_verbosity", 0, maxLogVerbosity)
+	n.LogVerbosity = int(verbosity)
+	differ(t, map[string]string{"callers": n.Callers, "ready": n.Ready, "admin": n.Admin}, "callers", "ready", "admin")
+}
--- a/internal/tomldoc/expected.go
+++ b/internal/tomldoc/expected.go
@@ -21,6 +21,10 @@
 
 func (r intRange) String() string { return fmt.Sprintf("an integer from %d to %d", r.low, r.high) }
 
+type floatRange struct{ low, high float64 }
+
+func (r floatRange) String() string { return fmt.Sprintf("a number from %g to %g", r.low, r.high) }
+
 type durationRange struct{ low, high time.Duration }
 
 func (r durationRange) String() string {
--- a/internal/tomldoc/read.go
+++ b/internal/tomldoc/read.go
@@ -84,6 +84,25 @@
 	return n, true
 }
 
+// Float returns a number within bounds, written with or without a fraction.
+func (t *Table) Float(key string, low, high float64) (float64, bool) {
+	expected := floatRange{low, high}
+	kind := unstable.Float
+	if e := t.find(key); e != nil && e.value.kind == unstable.Integer {
+		kind = unstable.Integer
+	}
+	s, ok := t.scalar(key, kind, expected)
+	if !ok {
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(strings.ReplaceAll(s, "_", ""), 64)
+	if err != nil || leadingZero(s) || !(f >= low && f <= high) {
+		t.Report(key, "is %s: expected %s", s, expected)
+		return 0, false
+	}
+	return f, true
+}
+
 // leadingZero reports a decimal such as 010, which TOML forbids and which Go
 // would read as octal.
 func leadingZero(s string) bool {
