Reload on SIGHUP, and notice a watch that went deaf

The watch of the configuration now waits 2.5 s, and a history that is gone for one kind makes all kinds be listed anew. Ruled out by the log: a decode error, a silent connection (no keep-alive failed). Also: budgets begin with their part of the slack at the first start of the whole system; answers of watches that come in a row share a call.

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -5,9 +5,12 @@
 	"context"
 	"os"
 
+	"k8s.io/klog/v2"
+
 	"github.com/medlarswitch/medlarswitch/internal/command"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
 	"github.com/medlarswitch/medlarswitch/internal/gateway"
+	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 	"github.com/medlarswitch/medlarswitch/internal/settings"
 	"github.com/medlarswitch/medlarswitch/platform"
@@ -21,6 +24,7 @@
   ready = "10.0.0.1:8108"        # readiness check of the balancer
   admin = "10.0.0.1:7380"        # metrics as text
   store = "10.200.1.7:8102"      # the platform's object store
+  first_start = false            # true when the whole system starts for the first time
   grace = "6s"                   # from SIGTERM to SIGKILL
   extra_ratio = 0.2              # further requests to a service, per request
   extra_slack = 58               # and besides, over all VMs
@@ -28,6 +32,8 @@
   cold_slack = 5                 # and besides
   log_verbosity = 0
 
+SIGHUP reads the bounds and the grace time anew; addresses need a restart.
+
 Without --settings the file is the one that MEDLARSWITCH_CONFIG names.`
 
 func main() {
@@ -43,15 +49,30 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return func(ctx context.Context) error { return run(ctx, cfg) }, cfg.LogVerbosity, nil
+	return func(ctx context.Context) error { return run(ctx, path, cfg) }, cfg.LogVerbosity, nil
+}
+
+func run(ctx context.Context, path string, cfg settings.Node) error {
+	node := gateway.New(config(cfg), platform.NewStore(cfg.Store), platform.Codec{})
+	lifecycle.OnReload(ctx, func() { reload(node, path) })
+	return node.Run(ctx)
+}
+
+// reload takes in changed settings. Settings that are not valid change nothing.
+func reload(node *gateway.Node, path string) {
+	cfg, err := settings.Load[settings.Node](path)
+	if err != nil {
+		klog.ErrorS(err, "The changed settings are not valid, the old ones stay")
+		return
+	}
+	node.Reload(config(cfg))
 }
 
-func run(ctx context.Context, cfg settings.Node) error {
-	node := gateway.New(gateway.Config{
+func config(cfg settings.Node) gateway.Config {
+	return gateway.Config{
 		VM: cfg.VM, Callers: cfg.Callers, Ready: cfg.Ready, Admin: cfg.Admin, ReadyPath: platform.ReadyPath,
-		ExtraLoad: extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack},
+		ExtraLoad: extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack, Filled: cfg.FirstStart},
 		Placement: placement.Config{ColdFactor: cfg.ColdFactor, ColdSlack: cfg.ColdSlack},
 		Grace:     cfg.Grace,
-	}, platform.NewStore(cfg.Store), platform.Codec{})
-	return node.Run(ctx)
+	}
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -70,6 +70,12 @@
 	b.earn(0)
 }
 
+// Fill gives the budget as many tokens as may be saved.
+func (b *Budget) Fill() {
+	b.all.tokens = b.config.Burst
+	b.hedges.tokens = b.config.Burst * HedgePart
+}
+
 // Tokens returns how many extra attempts could be spent now, for metrics.
 func (b *Budget) Tokens() float64 { return b.all.tokens }
 
--- a/internal/extraload/ledger.go
+++ b/internal/extraload/ledger.go
@@ -13,6 +13,10 @@
 	Ratio float64
 	// Slack is how many extra requests a service bears besides in a window.
 	Slack float64
+	// Filled budgets begin with their part of the slack. It is for the first start
+	// of the whole system only: VMs that are restarted again and again would
+	// otherwise spend it each time.
+	Filled bool
 }
 
 const (
@@ -45,6 +49,15 @@
 	}
 }
 
+// SetConfig changes the bound.
+func (l *Ledger) SetConfig(config Config) {
+	config.Filled = l.config.Filled
+	l.config = config
+	for _, b := range l.budgets {
+		b.SetBurst(l.burst())
+	}
+}
+
 // Request counts a caller's request for a service.
 func (l *Ledger) Request(now time.Duration, service fleet.ServiceName) {
 	l.of(service).OnFirst(now)
@@ -68,6 +81,9 @@
 	b := l.budgets[service]
 	if b == nil {
 		b = budget.New(budget.Config{Share: l.config.Ratio, Burst: l.burst()})
+		if l.config.Filled {
+			b.Fill()
+		}
 		l.budgets[service] = b
 	}
 	return b
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -15,108 +15,121 @@
 	// watchWait is how long a watch waits for a change. Each call has its price,
 	// and the store allows 30 s at most.
 	watchWait = 25 * time.Second
+	// checkWait is the wait of the watch of the configuration. A watch may have
+	// gone deaf while the store dropped its history, and only the next call tells;
+	// the rules hold again four seconds after such a fault.
+	checkWait = 2500 * time.Millisecond
+	// watchPause is the pause between the answer of a watch and the next one, so
+	// that changes that come in a row share a call.
+	watchPause = 60 * time.Millisecond
 	// followPauseMin and followPauseMax bound the pause after a failed call.
 	followPauseMin = 50 * time.Millisecond
 	followPauseMax = 400 * time.Millisecond
 )
 
-// follow keeps one kind of object up to date until the context is done.
-func (n *Node) follow(ctx context.Context, kind directory.Kind) {
-	pause := followPauseMin
-	var from uint64
-	listed, lost := false, false
-	for ctx.Err() == nil {
-		changes, err := n.fetch(ctx, kind, listed, from)
-		switch {
-		case err == nil:
-			if lost {
-				klog.InfoS("Regained the store", "kind", kind, "revision", changes.Revision)
-			}
-			n.apply(kind, changes, !listed)
-			from, listed, lost, pause = changes.Revision, true, false, followPauseMin
-		case errors.Is(err, ErrHistoryGone):
-			klog.InfoS("The store has dropped the history, listing anew", "kind", kind, "revision", from)
-			listed = false
-		case ctx.Err() == nil:
-			if !lost {
-				klog.InfoS("Lost the store", "kind", kind, "revision", from, "err", err)
-			}
-			lost = true
-			n.failed(kind)
-			rest(ctx, pause+rand.N(pause))
-			pause = min(2*pause, followPauseMax)
-		}
+// errRelist ends the watch of a kind whose objects must be listed anew.
+var errRelist = errors.New("the objects of the kind must be listed anew")
+
+// follower keeps one kind of object up to date. One goroutine owns it, but for
+// cancel.
+type follower struct {
+	node *Node
+	kind directory.Kind
+	wait time.Duration
+	// from is the revision that is known, once listed is true.
+	from   uint64
+	listed bool
+	lost   bool
+	pause  time.Duration
+	// cancel ends the call that is under way; guarded by the node's mu.
+	cancel context.CancelCauseFunc
+}
+
+func newFollower(n *Node, kind directory.Kind) *follower {
+	f := &follower{node: n, kind: kind, wait: watchWait, pause: followPauseMin}
+	if kind == directory.KindConfiguration {
+		f.wait = checkWait
 	}
+	return f
 }
 
-func (n *Node) fetch(ctx context.Context, kind directory.Kind, listed bool, from uint64) (Changes, error) {
-	n.metrics.storeCalls.Inc(1)
-	if !listed {
-		return n.store.List(ctx, kind)
+// run follows until the context is done.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.turn(ctx)
 	}
-	return n.store.Watch(ctx, kind, from, watchWait)
 }
 
-func (n *Node) failed(kind directory.Kind) {
-	n.metrics.storeErrors.Inc(1)
-	if kind != directory.KindLeaves {
-		return
+func (f *follower) turn(ctx context.Context) {
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f.node.mu.Lock()
+	f.cancel = cancel
+	f.node.mu.Unlock()
+	changes, err := f.fetch(callCtx)
+	switch {
+	case err == nil:
+		f.take(ctx, changes)
+	case errors.Is(context.Cause(callCtx), errRelist):
+		f.listed = false
+	case errors.Is(err, ErrHistoryGone):
+		klog.InfoS("The store has dropped the history, listing all kinds anew", "kind", f.kind, "revision", f.from)
+		f.listed = false
+		f.node.relistOthers(f)
+	case ctx.Err() == nil:
+		f.fail(ctx, err)
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.directory.StoreFailed(n.now())
 }
 
-// apply brings changes into force.
-func (n *Node) apply(kind directory.Kind, changes Changes, all bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.now()
-	if kind == directory.KindLeaves && n.directory.StoreAnswered(now) {
-		klog.InfoS("The store is back after an outage, missing leaves stay in use for a while")
+func (f *follower) fetch(ctx context.Context) (Changes, error) {
+	f.node.metrics.storeCalls.Inc(1)
+	if !f.listed {
+		return f.node.store.List(ctx, f.kind)
 	}
-	if all {
-		n.directory.Listed(now, kind, changes.Events)
-	} else {
-		for _, event := range changes.Events {
-			n.directory.Changed(now, event)
-		}
+	return f.node.store.Watch(ctx, f.kind, f.from, f.wait)
+}
+
+func (f *follower) take(ctx context.Context, changes Changes) {
+	if f.lost {
+		klog.InfoS("Regained the store", "kind", f.kind, "revision", changes.Revision)
 	}
-	logChanges(kind, changes, all)
-	if all || len(changes.Events) > 0 {
-		n.refresh(kind)
+	f.node.apply(f.kind, changes, !f.listed)
+	f.from, f.listed, f.lost, f.pause = changes.Revision, true, false, followPauseMin
+	if len(changes.Events) > 0 {
+		rest(ctx, watchPause)
 	}
 }
 
-// logChanges writes one line per change of what this VM believes. A listing is
-// one line.
-func logChanges(kind directory.Kind, changes Changes, all bool) {
-	if all {
-		klog.InfoS("Listed", "kind", kind, "revision", changes.Revision, "objects", len(changes.Events))
+func (f *follower) fail(ctx context.Context, err error) {
+	if !f.lost {
+		klog.InfoS("Lost the store", "kind", f.kind, "revision", f.from, "err", err)
 	}
-	for _, event := range changes.Events {
-		if ev, ok := event.(directory.Unreadable); ok {
-			klog.InfoS("Ignored an object that cannot be read", "kind", kind, "name", ev.Name, "err", ev.Err)
-		} else if !all {
-			logChange(changes.Revision, event)
+	f.lost = true
+	f.node.storeFailed(f.kind)
+	rest(ctx, f.pause+rand.N(f.pause))
+	f.pause = min(2*f.pause, followPauseMax)
+}
+
+// relistOthers makes the other followers list their kinds: a history that is
+// gone for one kind is gone for all, and their watches may have gone deaf.
+func (n *Node) relistOthers(but *follower) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, f := range n.followers {
+		if f != but && f.cancel != nil {
+			f.cancel(errRelist)
 		}
 	}
 }
 
-func logChange(revision uint64, event directory.Event) {
-	switch ev := event.(type) {
-	case directory.ConfigurationSet:
-		klog.InfoS("Configuration", "revision", revision, "version", ev.Configuration.Version, "routes", len(ev.Configuration.Routes))
-	case directory.LeafSet:
-		klog.InfoS("Leaf", "revision", revision, "leaf", ev.Leaf.ID, "service", ev.Leaf.Service, "zone", ev.Leaf.Zone,
-			"leaving", ev.Leaf.Leaving, "coldFor", ev.Leaf.ColdFor, "started", ev.Leaf.Started)
-	case directory.LeafRemoved:
-		klog.InfoS("Leaf removed", "revision", revision, "leaf", ev.ID)
-	case directory.EvacuationSet:
-		klog.InfoS("Zone out", "revision", revision, "zone", ev.Zone)
-	case directory.EvacuationRemoved:
-		klog.InfoS("Zone in", "revision", revision, "zone", ev.Zone)
+func (n *Node) storeFailed(kind directory.Kind) {
+	n.metrics.storeErrors.Inc(1)
+	if kind != directory.KindLeaves {
+		return
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.directory.StoreFailed(n.now())
 }
 
 // rest waits, but not longer than the context.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
@@ -27,6 +28,8 @@
 	drain   *lifecycle.Drain
 	metrics *nodeMetrics
 
+	// grace is the time from the stop signal to the kill, a time.Duration.
+	grace atomic.Int64
 	// inForce is the configuration that requests are handled by.
 	inForce atomic.Pointer[fleet.Configuration]
 
@@ -37,6 +40,8 @@
 	splitter  *fleet.Splitter
 	delays    *latency.Table
 	pools     map[fleet.LeafID]*pooled
+	// followers is not changed after the node was built.
+	followers []*follower
 }
 
 // pooled is the connection pool of one run of a leaf.
@@ -48,13 +53,18 @@
 
 // New returns a node that does not serve yet.
 func New(config Config, store Store, codec Codec) *Node {
-	return &Node{
+	n := &Node{
 		config: config, store: store, codec: codec, started: time.Now(),
 		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry()),
 		directory: directory.New(), table: placement.New(config.Placement),
 		ledger: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(),
 		delays: latency.NewTable(), pools: make(map[fleet.LeafID]*pooled),
 	}
+	n.grace.Store(int64(config.Grace))
+	for _, kind := range []directory.Kind{directory.KindConfiguration, directory.KindLeaves, directory.KindEvacuations} {
+		n.followers = append(n.followers, newFollower(n, kind))
+	}
+	return n
 }
 
 // now is the monotonic time that decisions work with.
@@ -125,5 +135,16 @@
 	}
 }
 
+// Reload takes in changed settings. Addresses stay as they are.
+func (n *Node) Reload(config Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ledger.SetConfig(config.ExtraLoad)
+	n.table.SetConfig(config.Placement)
+	n.grace.Store(int64(config.Grace))
+	klog.InfoS("Read the settings anew", "extraRatio", config.ExtraLoad.Ratio, "extraSlack", config.ExtraLoad.Slack,
+		"coldFactor", config.Placement.ColdFactor, "coldSlack", config.Placement.ColdSlack, "grace", config.Grace)
+}
+
 // ready reports whether new callers should be sent here.
 func (n *Node) ready() bool { return n.inForce.Load() != nil && !n.drain.Draining() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,8 +45,8 @@
 		}
 		go func() { failed <- server.Serve(ln) }()
 	}
-	for _, kind := range []directory.Kind{directory.KindConfiguration, directory.KindLeaves, directory.KindEvacuations} {
-		go n.follow(work, kind)
+	for _, f := range n.followers {
+		go f.run(work)
 	}
 	go n.stayMember(work)
 	go n.housekeep(work, connections)
@@ -64,10 +64,11 @@
 func (n *Node) stop(ctx context.Context, callers *http.Server) {
 	began := time.Now()
 	n.drain.Begin()
-	klog.InfoS("Stopping", "grace", n.config.Grace)
+	grace := time.Duration(n.grace.Load())
+	klog.InfoS("Stopping", "grace", grace)
 	n.leave(ctx)
-	rest(ctx, min(unreadyDelay, n.config.Grace/2)-time.Since(began))
-	ctx, cancel := context.WithTimeout(ctx, n.config.Grace-stopMargin-time.Since(began))
+	rest(ctx, min(unreadyDelay, grace/2)-time.Since(began))
+	ctx, cancel := context.WithTimeout(ctx, grace-stopMargin-time.Since(began))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		klog.InfoS("Requests were still running at the end of the grace time", "err", err)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -44,6 +44,12 @@
 	t.share()
 }
 
+// SetConfig changes the bound of cold leaves.
+func (t *Table) SetConfig(config Config) {
+	t.config = config
+	t.share()
+}
+
 // SetEvacuated takes in the zones whose leaves get no requests.
 func (t *Table) SetEvacuated(zones map[fleet.Zone]bool) {
 	t.evacuated = make(map[fleet.Zone]bool, len(zones))
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,6 +22,8 @@
 	Callers, Ready, Admin string
 	// Store is the address of the platform's object store.
 	Store string
+	// FirstStart is true when the whole system starts for the first time.
+	FirstStart bool
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// ExtraRatio and ExtraSlack bound the further requests to a service, over all
@@ -41,6 +43,7 @@
 	n.Ready = address(t, "ready")
 	n.Admin = address(t, "admin")
 	n.Store = address(t, "store")
+	n.FirstStart, _ = t.Bool("first_start")
 	n.Grace, _ = t.Duration("grace", 0, maxGrace)
 	n.ExtraRatio, _ = t.Float("extra_ratio", 0, maxRatio)
 	n.ExtraSlack, _ = t.Float("extra_slack", 0, maxSlack)
