Let requests wait for one of this VM's connections to a leaf

Now a request waits in order for a connection, which its cost counts; two requests in a row that get no reply in time make a leaf unsound; a leaf that could not be reached gets one trial at a time.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,8 @@
 	cancel  context.CancelFunc
 	reply   *leafconn.Reply
 	info    LeafInfo
+	// queued is true while the request waits for a connection.
+	queued atomic.Bool
 	// ended is true when the run has taken in the end of the attempt.
 	ended bool
 }
@@ -62,6 +65,7 @@
 	n.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
+	a.queued.Store(true)
 	if !usable {
 		r.results <- result{attempt: a, err: errUnusable, local: true}
 		return
@@ -77,6 +81,7 @@
 	n, c := r.node, r.call
 	deadline := c.began.Add(c.deadline())
 	request := c.request
+	request.OnSend = func() { a.queued.Store(false) }
 	request.Header = n.codec.Addressed(c.request.Header, c.info.RequestID, a.leaf, time.Until(deadline))
 	reply, err := pool.Exchange(ctx, &request, deadline, func(h http.Header) bool {
 		id := n.codec.Leaf(0, h).RequestID
@@ -111,6 +116,8 @@
 func outcomeOf(ctx context.Context, out *result) placement.Outcome {
 	var failure *leafconn.Error
 	switch {
+	case errors.As(out.err, &failure) && failure.Step == leafconn.StepWait:
+		return placement.NotSent
 	case ctx.Err() != nil:
 		return placement.Abandoned
 	case errors.As(out.err, &failure) && !failure.Sent:
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -93,7 +93,7 @@
 	if held != nil {
 		go held.pool.Close()
 	}
-	held = &pooled{addr: leaf.Address, started: leaf.Started, pool: leafconn.NewPool(leaf.Address, dialLeaf)}
+	held = &pooled{addr: leaf.Address, started: leaf.Started, pool: leafconn.NewPool(leaf.Address, n.table.Connections(id), dialLeaf)}
 	n.pools[id] = held
 	return held.pool
 }
@@ -111,6 +111,7 @@
 		n.table.SetConfiguration(c)
 		n.ledger.Retain(c)
 		n.splitter.Retain(c)
+		n.limitPools()
 		n.inForce.Store(c)
 	case directory.KindLeaves:
 		n.table.SetLeaves(now, n.directory.Leaves())
@@ -119,11 +120,20 @@
 		n.table.SetEvacuated(n.directory.Evacuated())
 	case directory.KindMembers:
 		members, _ := n.directory.Members(now)
-		n.table.SetMembers(members)
+		if n.table.SetMembers(members) {
+			n.limitPools()
+		}
 		n.ledger.SetMembers(members)
 	}
 }
 
+// limitPools gives each pool its share of the leaf's connections.
+func (n *Node) limitPools() {
+	for id, held := range n.pools {
+		held.pool.SetLimit(n.table.Connections(id))
+	}
+}
+
 // closePools closes the connections to leaves that are gone.
 func (n *Node) closePools() {
 	leaves := n.directory.Leaves()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -203,7 +203,7 @@
 // abort gives an attempt up. One whose caller left ends at once; another may run
 // on for a while, so that its connection can be used again.
 func (r *run) abort(a *attempt, atOnce bool) {
-	if atOnce {
+	if atOnce || a.queued.Load() {
 		a.cancel()
 		return
 	}
--- a/internal/leafconn/error.go
+++ b/internal/leafconn/error.go
@@ -16,6 +16,8 @@
 
 // Stages of an exchange.
 const (
+	// StepWait is the wait for one of the VM's connections.
+	StepWait  Step = "connection-wait"
 	StepDial  Step = "leaf-dial"
 	StepWrite Step = "leaf-write"
 	StepRead  Step = "leaf-read"
--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -24,9 +24,13 @@
 // deadline, or when the context is done, by closing the connection. mine tells
 // whether a reply with these headers belongs to the request.
 func (p *Pool) Exchange(ctx context.Context, r *Request, deadline time.Time, mine func(http.Header) bool) (*Reply, error) {
-	dialCtx, cancel := context.WithDeadline(ctx, deadline)
-	c, err := p.get(dialCtx)
-	cancel()
+	waitCtx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if err := p.enter(waitCtx); err != nil {
+		return nil, &Error{Step: StepWait, Err: err}
+	}
+	defer p.exit()
+	c, err := p.get(waitCtx)
 	if err != nil {
 		return nil, &Error{Step: StepDial, Err: err}
 	}
@@ -50,6 +54,9 @@
 	if err := c.SetDeadline(deadline); err != nil {
 		return nil, false, &Error{Step: StepWrite, Lost: true, Err: err}
 	}
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	written := make(chan error, 1)
 	text := r.encode()
 	if len(r.Body) < readBuffer {
--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,19 +17,78 @@
 	idleMargin = 500 * time.Millisecond
 )
 
-// Pool holds the connections to one leaf. It is safe for concurrent use.
+// Pool holds the connections to one leaf. Requests beyond its limit wait in the
+// order in which they came. It is safe for concurrent use.
 type Pool struct {
 	addr string
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
+	limit  int
+	busy   int
 	idle   []*conn
 	closed bool
+	// waiting are requests without a connection; a turn is given by closing the
+	// channel.
+	waiting []chan struct{}
 }
 
 // NewPool returns a pool without connections. The address does not change.
-func NewPool(addr string, dial func(ctx context.Context, addr string) (net.Conn, error)) *Pool {
-	return &Pool{addr: addr, dial: dial}
+func NewPool(addr string, limit int, dial func(ctx context.Context, addr string) (net.Conn, error)) *Pool {
+	return &Pool{addr: addr, limit: limit, dial: dial}
+}
+
+// SetLimit changes how many requests may run at a time.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	p.wake()
+}
+
+// enter waits for a turn.
+func (p *Pool) enter(ctx context.Context) error {
+	p.mu.Lock()
+	if p.busy < p.limit {
+		p.busy++
+		p.mu.Unlock()
+		return nil
+	}
+	turn := make(chan struct{})
+	p.waiting = append(p.waiting, turn)
+	p.mu.Unlock()
+	select {
+	case <-turn:
+		return nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.waiting, turn); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		return ctx.Err()
+	}
+	// The turn came at the same moment; it goes to the next one.
+	p.busy--
+	p.wake()
+	return ctx.Err()
+}
+
+// exit ends a turn.
+func (p *Pool) exit() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy--
+	p.wake()
+}
+
+// wake gives free turns to those who wait. The caller holds mu.
+func (p *Pool) wake() {
+	for p.busy < p.limit && len(p.waiting) > 0 {
+		close(p.waiting[0])
+		p.waiting = p.waiting[1:]
+		p.busy++
+	}
 }
 
 // Close closes idle connections now and others when their request ends.
--- a/internal/leafconn/request.go
+++ b/internal/leafconn/request.go
@@ -16,6 +16,8 @@
 	Body   []byte
 	// HasBody is true when the caller sent a body, even an empty one.
 	HasBody bool
+	// OnSend, if set, is called just before the first byte is written.
+	OnSend func()
 }
 
 // encode returns the bytes of the request.
--- a/internal/placement/constants.go
+++ b/internal/placement/constants.go
@@ -34,6 +34,8 @@
 	failingAbove = 0.3
 	// coldFactor is the slowness of a cold leaf before it was observed.
 	coldFactor = 1.6
+	// silentAfter requests in a row without a reply make a leaf silent.
+	silentAfter = 2
 	// retryMin and retryMax bound the pause before a leaf that could not be
 	// reached is tried again.
 	retryMin = 100 * time.Millisecond
--- a/internal/placement/leaf.go
+++ b/internal/placement/leaf.go
@@ -32,6 +32,10 @@
 	unusable int
 	// retryAt is when a leaf that could not be reached may be tried again.
 	retryAt time.Duration
+	// unanswered counts requests in a row that got no reply in time; silentUntil
+	// is until when the leaf is not sound because of them.
+	unanswered  int
+	silentUntil time.Duration
 	// replaced is set when another leaf answered at the address.
 	replaced bool
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -17,6 +17,8 @@
 	Abandoned
 	// TimedOut is a request without a reply when its time was up.
 	TimedOut
+	// NotSent is a request that ended while it waited for a connection of this VM.
+	NotSent
 	// Replaced is an address at which another leaf answered.
 	Replaced
 )
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -59,11 +59,14 @@
 }
 
 // SetMembers takes in how many VMs share the leaves; 0 means unknown.
-func (t *Table) SetMembers(n int) {
-	if n != t.members {
-		t.members = n
-		t.share()
+// It reports whether the shares changed.
+func (t *Table) SetMembers(n int) bool {
+	if n == t.members {
+		return false
 	}
+	t.members = n
+	t.share()
+	return true
 }
 
 // SetLeaves replaces the leaves. What is known of a leaf is kept while it is the
@@ -166,7 +169,7 @@
 	switch {
 	case l.Leaving || l.replaced || t.evacuated[l.Zone]:
 		return false
-	case len(l.started) >= l.connections || now < l.retryAt:
+	case now < l.retryAt || l.unusable > 0 && len(l.started) > 0:
 		return false
 	case l.isCold(now) && l.cold.limit >= 0:
 		return l.cold.room(now)
@@ -175,12 +178,16 @@
 }
 
 func (t *Table) sound(now time.Duration, l *leaf, route string) bool {
-	return !t.suspect(now, l, route) && l.failuresNow(now) < failingAbove && l.unusable == 0
+	return !t.suspect(now, l, route) && l.failuresNow(now) < failingAbove && l.unusable == 0 && now >= l.silentUntil
 }
 
 func (t *Table) suspect(now time.Duration, l *leaf, route string) bool {
-	limit := max(suspectFactor*t.expected.of(route, l.Zone), minSuspectAge)
-	return l.age(now) > limit
+	return l.age(now) > t.suspectAge(l, route)
+}
+
+// suspectAge is the time after which a reply is overdue.
+func (t *Table) suspectAge(l *leaf, route string) time.Duration {
+	return max(suspectFactor*t.expected.of(route, l.Zone), minSuspectAge)
 }
 
 // cost is the time in which a request is expected to be answered.
@@ -193,6 +200,9 @@
 	if waiting := l.queued(now) + 1 - l.Slots; waiting > 0 {
 		cost += each * float64(waiting) / float64(l.Slots)
 	}
+	if waiting := len(l.started) + 1 - l.connections; waiting > 0 {
+		cost += each * float64(waiting) / float64(l.connections)
+	}
 	cost += l.failuresNow(now) * float64(failureCost)
 	if t.suspect(now, l, route) {
 		cost += float64(suspectCost)
@@ -223,13 +233,14 @@
 	expected := t.expected.of(route, l.Zone)
 	switch outcome {
 	case Replied:
-		l.unusable = 0
+		l.unusable, l.unanswered = 0, 0
 		l.fail(now, 0)
 		l.observe(now, float64(took)/float64(expected))
 		t.expected.observe(route, l.Zone, took)
-	case Failed, TimedOut:
+	case Failed:
 		l.fail(now, 1)
-	case Abandoned:
+	case TimedOut, Abandoned:
+		t.unanswered(now, l, route, took)
 		if ratio := float64(took) / float64(expected); ratio > l.slownessNow(now) {
 			l.observe(now, ratio)
 		}
@@ -240,7 +251,30 @@
 	case Replaced:
 		l.replaced = true
 	case Refused:
+		l.unanswered = 0
+	case NotSent:
+	}
+}
+
+// unanswered counts a request that ended without a reply after the time in which
+// one was due. Two in a row make the leaf silent for a while.
+func (t *Table) unanswered(now time.Duration, l *leaf, route string, took time.Duration) {
+	if took < t.suspectAge(l, route) {
+		return
+	}
+	l.unanswered++
+	if l.unanswered >= silentAfter {
+		pause := retryMin << min(l.unanswered-silentAfter, 8)
+		l.silentUntil = now + min(pause, retryMax)
+	}
+}
+
+// Connections is how many requests this VM may run at a leaf at a time.
+func (t *Table) Connections(id fleet.LeafID) int {
+	if l := t.leaves[id]; l != nil {
+		return l.connections
 	}
+	return minConnections
 }
 
 // Stated takes in what a reply of a leaf says of it.
