--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,119 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+)
+
+func leafSet(id string) Event { return LeafSet{fleet.Leaf{ID: fleet.LeafID(id), Service: "s"}} }
+
+// Guards against a configuration that goes back when an older version arrives
+// late, as after a listing from a store whose answers crossed.
+func TestConfigurationOnlyRises(t *testing.T) {
+	d := New()
+	for _, step := range []struct{ arrives, want uint64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}, {8, 9}} {
+		d.Changed(0, ConfigurationSet{&fleet.Configuration{Version: step.arrives}})
+		assert.Equal(t, d.Configuration().Version, step.want)
+	}
+}
+
+// Guards against leaves that are dropped because their entries lapsed while the
+// store was away, and against leaves that stay in use for good after that.
+func TestLeavesThatAreMissingAfterAnOutage(t *testing.T) {
+	const back = 10 * time.Second
+	rows := []struct {
+		name    string
+		outage  time.Duration
+		leaving bool
+		// keptAt are times after the return at which the missing leaf is in use.
+		keptAt, goneAt time.Duration
+	}{
+		{"after an outage", 3 * time.Second, false, 2 * time.Second, 2300 * time.Millisecond},
+		{"after a short interruption", 100 * time.Millisecond, false, -1, 0},
+		{"a leaf that was leaving", 3 * time.Second, true, -1, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			d := New()
+			leaf := fleet.Leaf{ID: "a", Leaving: row.leaving}
+			d.Listed(0, KindLeaves, []Event{LeafSet{leaf}, leafSet("b")})
+			d.StoreFailed(back - row.outage)
+			d.StoreAnswered(back)
+			d.Listed(back, KindLeaves, []Event{leafSet("b")})
+			if row.keptAt >= 0 {
+				d.Expire(back + row.keptAt)
+				assert.Equal(t, len(d.Leaves()), 2)
+			}
+			d.Expire(back + row.goneAt)
+			assert.Equal(t, len(d.Leaves()), 1)
+		})
+	}
+}
+
+// Guards against a living leaf that is dropped at the end of the grace although
+// its entry came back in time.
+func TestLeafThatComesBackAfterAnOutage(t *testing.T) {
+	d := New()
+	d.Listed(0, KindLeaves, []Event{leafSet("a")})
+	d.StoreFailed(time.Second)
+	d.StoreAnswered(5 * time.Second)
+	d.Changed(5*time.Second, LeafRemoved{"a"})
+	d.Changed(6*time.Second, leafSet("a"))
+	assert.Assert(t, !d.Expire(time.Minute))
+	assert.Equal(t, len(d.Leaves()), 1)
+}
+
+// Guards against a grace that holds on to a leaf that left long after the
+// outage: it would get requests later than it may.
+func TestRemovalAfterTheGraceIsAtOnce(t *testing.T) {
+	d := New()
+	d.Listed(0, KindLeaves, []Event{leafSet("a")})
+	d.StoreFailed(time.Second)
+	d.StoreAnswered(5 * time.Second)
+	d.Changed(8*time.Second, LeafRemoved{"a"})
+	assert.Equal(t, len(d.Leaves()), 0)
+}
+
+// Guards against an entry that was overwritten with nonsense and is still used,
+// and against one that takes other leaves with it.
+func TestUnreadableEntryIsNoLeaf(t *testing.T) {
+	d := New()
+	d.Listed(0, KindLeaves, []Event{leafSet("a"), leafSet("b"), Unreadable{Name: "c"}})
+	d.Changed(0, Unreadable{Name: "a"})
+	assert.Equal(t, len(d.Leaves()), 1)
+}
+
+// Guards against changes that were missed while the history was lost: a listing
+// is all there is.
+func TestListingReplacesWhatWasKnown(t *testing.T) {
+	d := New()
+	d.Listed(0, KindLeaves, []Event{leafSet("a")})
+	d.Listed(0, KindEvacuations, []Event{EvacuationSet{"z"}})
+	d.Listed(0, KindMembers, []Event{MemberSet{"vm-1", 1}})
+	d.Listed(1, KindLeaves, []Event{leafSet("b")})
+	d.Listed(1, KindEvacuations, nil)
+	d.Listed(1, KindMembers, []Event{MemberSet{"vm-2", 1}})
+	_, ok := d.Leaves()["b"]
+	assert.Assert(t, ok && len(d.Leaves()) == 1 && len(d.Evacuated()) == 0)
+	n, _ := d.Members(1)
+	assert.Equal(t, n, 1)
+}
+
+// Guards against shares that stay small because VMs that are gone still count,
+// and against a VM that takes shares before it knows the others.
+func TestMembersCountWhileTheyRefresh(t *testing.T) {
+	d := New()
+	_, known := d.Members(0)
+	assert.Assert(t, !known)
+	for turn := range 6 {
+		now := time.Duration(turn) * MemberRefresh
+		d.Listed(now, KindMembers, []Event{MemberSet{"alive", uint64(turn)}, MemberSet{"dead", 1}})
+	}
+	n, known := d.Members(5 * MemberRefresh)
+	assert.Assert(t, known)
+	assert.Equal(t, n, 1)
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a request that goes by another route than the one with the
+// longest prefix of its host.
+func TestFindLongestPrefix(t *testing.T) {
+	c := &Configuration{Routes: []*Route{
+		{Name: "root", Host: "a.example", Prefix: "/"},
+		{Name: "one", Host: "a.example", Prefix: "/one/"},
+		{Name: "deep", Host: "a.example", Prefix: "/one/two/"},
+		{Name: "other", Host: "b.example", Prefix: "/one/"},
+	}}
+	c.Index()
+	rows := []struct{ host, path, want string }{
+		{"a.example", "/one/two/x", "deep"}, {"a.example", "/one/two", "one"}, {"a.example", "/one/twox/", "one"},
+		{"a.example", "/one", "root"}, {"A.Example:80", "/one/x", "one"}, {"b.example", "/one/two/x", "other"},
+		{"b.example", "/", ""}, {"c.example", "/one/", ""}, {"", "/one/", ""},
+	}
+	for _, row := range rows {
+		name := ""
+		if r := c.Find(row.host, row.path); r != nil {
+			name = r.Name
+		}
+		assert.Equal(t, name, row.want, "%s%s", row.host, row.path)
+	}
+}
+
+// Guards against parts of a split route that get another share than their
+// weight over any stretch of requests.
+func TestSplitterKeepsShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 4).Draw(t, "parts")
+		route := &Route{Name: "r"}
+		total := 0.0
+		for i := range n {
+			w := float64(rapid.IntRange(1, 20).Draw(t, "weight"))
+			route.Split = append(route.Split, Share{Service: ServiceName(rune('a' + i)), Weight: w})
+			total += w
+		}
+		s := NewSplitter()
+		counts := map[ServiceName]int{}
+		requests := rapid.IntRange(1, 400).Draw(t, "requests")
+		for range requests {
+			counts[s.Next(route)]++
+		}
+		for _, part := range route.Split {
+			want := part.Weight / total * float64(requests)
+			if math.Abs(float64(counts[part.Service])-want) > float64(n) {
+				t.Fatalf("%d of %d requests, want %.1f", counts[part.Service], requests, want)
+			}
+		}
+	})
+}
+
+// Guards against requests to a part whose weight was set to 0, and against a
+// route without any weight.
+func TestSplitterLeavesOutWeightZero(t *testing.T) {
+	s := NewSplitter()
+	route := &Route{Name: "r", Split: []Share{{"a", 1}, {"b", 1}}}
+	s.Next(route)
+	changed := &Route{Name: "r", Split: []Share{{"a", 1}, {"b", 0}}}
+	for range 10 {
+		assert.Equal(t, s.Next(changed), ServiceName("a"))
+	}
+	assert.Equal(t, s.Next(&Route{Name: "none", Split: []Share{{"a", 0}}}), ServiceName(""))
+}
