Test the new path against stand-ins, and bound the log

Found by them: a zone that had not replied yet counted as 15 ms away, so that it got nothing beside a faster one; a leaf that sheds load was asked again by the next request. Log: lines go to standard output through a bounded ring that never blocks, at most 300 lines and 96 KB a second, a third of it for failures only.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
+	"github.com/medlarswitch/medlarswitch/internal/logsink"
 )
 
 // Daemon describes a long-running program.
@@ -38,8 +39,11 @@
 
 // Main runs the program with the process's arguments and returns its exit code.
 func (d *Daemon) Main() int {
+	sink := logsink.New(os.Stdout)
+	klog.SetOutput(sink)
 	err := d.run(os.Args)
 	klog.Flush()
+	sink.Flush()
 	return ExitCode(err)
 }
 
@@ -66,7 +70,7 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	setVerbosity(verbosity)
+	configureLog(verbosity)
 	ctx, stop := lifecycle.StopContext(ctx)
 	defer stop()
 	klog.InfoS("Starting", "program", d.Name, "version", Version)
@@ -86,8 +90,15 @@
 	return errors.Errorf("the settings in %s are not valid, nothing was started:\n%v\nexample: %s --help", path, err, d.Name)
 }
 
-func setVerbosity(level int) {
+// configureLog sends log lines to the output that Main has set, and not to
+// standard error as klog does by default.
+func configureLog(level int) {
 	var flags flag.FlagSet
 	klog.InitFlags(&flags)
-	_ = flags.Set("v", strconv.Itoa(level))
+	for name, value := range map[string]string{
+		"v": strconv.Itoa(level), "logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL",
+	} {
+		// The flags are klog's own and the values valid.
+		_ = flags.Set(name, value)
+	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -174,8 +174,8 @@
 	a := out.attempt
 	took := r.node.now() - a.began
 	if out.err != nil {
-		klog.InfoS("Leaf request failed", "request", r.call.info.RequestID, "leaf", a.leaf, "service", a.service,
-			"took", took, "local", out.local, "err", out.err)
+		klog.ErrorS(out.err, "Leaf request failed", "request", r.call.info.RequestID, "leaf", a.leaf, "service", a.service,
+			"took", took, "local", out.local)
 		return
 	}
 	if !r.accepts(out) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -95,7 +95,7 @@
 // refuse answers a request that did not run and will not.
 func (n *Node) refuse(w http.ResponseWriter, info CallerInfo, status int, after time.Duration, why string) {
 	n.metrics.refused.Inc(1)
-	klog.InfoS("Refused", "request", info.RequestID, "status", status, "retryAfter", after, "why", why)
+	klog.ErrorS(nil, "Refused", "request", info.RequestID, "status", status, "retryAfter", after, "why", why)
 	n.codec.Refusal(w.Header(), info.RequestID, after)
 	http.Error(w, why, status)
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,6 +18,9 @@
 // take here: about the time in which a queue of a few requests empties.
 const refusalRetry = 60 * time.Millisecond
 
+// maxMissingLogged bounds the length of a log line.
+const maxMissingLogged = 4
+
 // finish answers the caller.
 func (r *run) finish(w http.ResponseWriter, req *http.Request, answer query.Answer) {
 	n, route := r.node, r.call.route
@@ -115,8 +120,31 @@
 // log writes the line of one request.
 func (r *run) log(what string, status int, took time.Duration, answer query.Answer) {
 	c := r.machine.Counters()
-	klog.InfoS(what, "request", r.call.info.RequestID, "route", r.call.route.Name, "version", r.call.conf.Version,
+	values := []any{
+		"request", r.call.info.RequestID, "route", r.call.route.Name, "version", r.call.conf.Version,
 		"status", status, "took", took, "timeLeft", r.call.info.TimeLeft,
-		"covered", answer.Covered, "of", answer.Total, "missing", answer.Missing,
-		"sends", len(r.attempts), "hedges", c.Hedges, "retries", c.Retries, "moves", c.Moves, "denied", c.Denied)
+		"covered", answer.Covered, "of", answer.Total, "missing", missing(answer),
+		"sends", len(r.attempts), "hedges", c.Hedges, "retries", c.Retries, "moves", c.Moves, "denied", c.Denied,
+	}
+	if status >= http.StatusInternalServerError || len(answer.Missing) > 0 {
+		klog.ErrorS(nil, what, values...)
+	} else {
+		klog.InfoS(what, values...)
+	}
+}
+
+// missing lists shards and reasons, up to maxMissingLogged of them.
+func missing(answer query.Answer) string {
+	var out strings.Builder
+	for i, m := range answer.Missing {
+		if i == maxMissingLogged {
+			fmt.Fprintf(&out, " and %d more", len(answer.Missing)-i)
+			break
+		}
+		if i > 0 {
+			out.WriteByte(' ')
+		}
+		out.WriteString(string(m.Shard) + ":" + string(m.Reason))
+	}
+	return out.String()
 }
--- /dev/null
+++ b/internal/leafconn/exchange_test.go
@@ -0,0 +1,250 @@
+package leafconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// script is what a fake leaf does on one connection; n counts connections.
+type script func(n int, c net.Conn, r *bufio.Reader)
+
+// fakeLeaf runs a script on each connection and counts them.
+func fakeLeaf(t *testing.T, run script) (pool *Pool, opened *atomic.Int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	opened = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n := int(opened.Add(1))
+			go func() {
+				defer c.Close()
+				run(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	pool = NewPool(ln.Addr().String(), 2, func(ctx context.Context, addr string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	})
+	t.Cleanup(func() { _ = ln.Close(); pool.Close() })
+	return pool, opened
+}
+
+// read reads one request and returns its ID and body.
+func read(r *bufio.Reader) (id, body string) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", ""
+	}
+	// A body that ends early is what the client cut off.
+	text, _ := io.ReadAll(req.Body)
+	return req.Header.Get("Id"), string(text)
+}
+
+func reply(id, body string, header ...string) string {
+	extra := strings.Join(header, "\r\n")
+	if extra != "" {
+		extra += "\r\n"
+	}
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + extra + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func exchange(pool *Pool, id string, timeout time.Duration) (*Reply, error) {
+	return pool.Exchange(context.Background(), &Request{
+		Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
+	}, time.Now().Add(timeout), func(h http.Header) bool { return h.Get("Id") == id })
+}
+
+// Guards against an answer that belongs to another request, an answer that is
+// not whole, and a connection that is used again with bytes left on it. Each
+// row is what a faulty leaf sends to the request "1".
+func TestFaultyReplies(t *testing.T) {
+	rows := []struct {
+		name string
+		// sends is written for request "1" before the connection is closed or not.
+		sends string
+		close bool
+		// body is the accepted body; no body means an error.
+		body string
+		// reused is true when request "2" may use the same connection.
+		reused bool
+	}{
+		{"whole", reply("1", "abc"), false, "abc", true},
+		{"late reply to another request first", reply("0", "old") + reply("1", "abc"), false, "abc", true},
+		{"extra bytes after the reply", reply("1", "abc") + "junk", false, "abc", false},
+		{"a second reply after the reply", reply("1", "abc") + reply("1", "xyz"), false, "abc", false},
+		{"says that it closes", reply("1", "abc", "Connection: close"), false, "abc", false},
+		{"without a length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nabc", true, "abc", false},
+		{"cut short", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nabc", true, "", false},
+		{"no reply", "", true, "", false},
+		{"no HTTP", "\x00\x01garbage\r\n\r\n", false, "", false},
+		{"only replies to other requests", strings.Repeat(reply("0", "old"), 5), false, "", false},
+		{"interim reply first", "HTTP/1.1 100 Continue\r\n\r\n" + reply("1", "abc"), false, "abc", true},
+		{"chunked", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false, "abc", true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			pool, opened := fakeLeaf(t, func(n int, c net.Conn, r *bufio.Reader) {
+				for {
+					id, _ := read(r)
+					if id == "" {
+						return
+					}
+					if id != "1" {
+						_, _ = io.WriteString(c, reply(id, "next"))
+						continue
+					}
+					_, _ = io.WriteString(c, row.sends)
+					if row.close {
+						return
+					}
+				}
+			})
+			got, err := exchange(pool, "1", time.Second)
+			if row.body == "" {
+				var failure *Error
+				assert.Assert(t, errors.As(err, &failure), "got %v", got)
+				assert.Assert(t, failure.Sent)
+			} else {
+				assert.NilError(t, err)
+				assert.Equal(t, string(got.Body), row.body)
+			}
+			time.Sleep(20 * time.Millisecond)
+			next, err := exchange(pool, "2", time.Second)
+			assert.NilError(t, err)
+			assert.Equal(t, string(next.Body), "next")
+			assert.Equal(t, opened.Load() == 1, row.reused, "%d connections", opened.Load())
+		})
+	}
+}
+
+// Guards against a reply that is taken although the leaf reset the connection
+// before the end of a body without a length.
+func TestResetIsNoEndOfABody(t *testing.T) {
+	pool, _ := fakeLeaf(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		read(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nabc")
+		time.Sleep(10 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := exchange(pool, "1", time.Second)
+	assert.Assert(t, err != nil)
+}
+
+// Guards against a request that is lost on a connection that the leaf closed
+// while it was idle.
+func TestConnectionClosedWhileIdle(t *testing.T) {
+	pool, opened := fakeLeaf(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		id, _ := read(r)
+		_, _ = io.WriteString(c, reply(id, "abc"))
+	})
+	for i := range 3 {
+		_, err := exchange(pool, strconv.Itoa(i), time.Second)
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, opened.Load(), int64(3))
+}
+
+// Guards against a request that stays at a leaf after its caller has left, and
+// against one that outlives its deadline.
+func TestCancelAndDeadlineCloseTheConnection(t *testing.T) {
+	closed := make(chan time.Time, 2)
+	pool, _ := fakeLeaf(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		read(r)
+		_, _ = r.ReadByte()
+		closed <- time.Now()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	began := time.Now()
+	_, err := pool.Exchange(ctx, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}},
+		began.Add(time.Minute), func(http.Header) bool { return true })
+	assert.Assert(t, err != nil)
+	assert.Assert(t, (<-closed).Sub(began) < 400*time.Millisecond)
+	began = time.Now()
+	_, err = exchange(pool, "1", 40*time.Millisecond)
+	assert.Assert(t, err != nil && time.Since(began) < 400*time.Millisecond)
+	assert.Assert(t, (<-closed).Sub(began) < 400*time.Millisecond)
+}
+
+// Guards against more connections than this VM's share, and against a request
+// that waits for good or is never sent after one that gave up waiting.
+func TestRequestsBeyondTheLimitWait(t *testing.T) {
+	release := make(chan struct{})
+	pool, opened := fakeLeaf(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, _ := read(r)
+			if id == "" {
+				return
+			}
+			<-release
+			_, _ = io.WriteString(c, reply(id, id))
+		}
+	})
+	results := make(chan error, 5)
+	for i := range 4 {
+		go func() {
+			_, err := exchange(pool, strconv.Itoa(i), 5*time.Second)
+			results <- err
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	_, err := exchange(pool, "impatient", 20*time.Millisecond)
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure) && failure.Step == StepWait && !failure.Sent)
+	assert.Equal(t, opened.Load(), int64(2))
+	close(release)
+	for range 4 {
+		assert.NilError(t, <-results)
+	}
+	assert.Equal(t, opened.Load(), int64(2))
+}
+
+// Guards against the rest of a long body that is sent on a connection where the
+// leaf, which has answered early, expects the next request.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	pool, _ := fakeLeaf(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			id, _ := read(r)
+			_, _ = io.WriteString(c, reply(id, "abc"))
+			return
+		}
+		_, _ = io.WriteString(c, reply("1", "early"))
+		time.Sleep(50 * time.Millisecond)
+		read(r)
+	})
+	const size = 4 << 20
+	answer, err := pool.Exchange(context.Background(), &Request{
+		Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: make([]byte, size), HasBody: true,
+	}, time.Now().Add(time.Second), func(h http.Header) bool { return h.Get("Id") == "1" })
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Body), "early")
+	next, err := exchange(pool, "2", time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(next.Body), "abc")
+}
+
+// Guards against a header, path or body that changes on its way to the leaf.
+func TestRequestIsEncodedUnchanged(t *testing.T) {
+	r := &Request{Method: "POST", Target: "/a%2Fb/?q=1&q=%20", Host: "h.example", Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("xyz"), HasBody: true}
+	want := "POST /a%2Fb/?q=1&q=%20 HTTP/1.1\r\nHost: h.example\r\nX-A: 1\r\nX-A: 2\r\nContent-Length: 3\r\n\r\nxyz"
+	assert.Equal(t, string(r.encode()), want)
+	r.Body, r.HasBody = nil, false
+	assert.Equal(t, string(r.encode()), "POST /a%2Fb/?q=1&q=%20 HTTP/1.1\r\nHost: h.example\r\nX-A: 1\r\nX-A: 2\r\n\r\n")
+}
--- /dev/null
+++ b/internal/logsink/limiter.go
@@ -0,0 +1,58 @@
+package logsink
+
+import "time"
+
+// Bounds of the lines that a process writes in a second. The reserve is for
+// failures only.
+const (
+	MaxLines   = 200
+	MaxBytes   = 64 << 10
+	LineBounds = time.Second
+
+	reserveLines = 100
+	reserveBytes = 32 << 10
+)
+
+// limiter decides which lines are written. It answers a burst of failing
+// requests, of which each would write lines. Time is monotonic.
+type limiter struct {
+	windowStart  time.Duration
+	lines, bytes int
+	left         omitted
+}
+
+// omitted counts lines that were left out.
+type omitted struct{ info, failures int }
+
+// allow reports whether a line fits into the current second.
+func (l *limiter) allow(now time.Duration, size int, failure bool) bool {
+	if now-l.windowStart >= LineBounds {
+		l.windowStart, l.lines, l.bytes = now, 0, 0
+	}
+	lines, bytes := MaxLines, MaxBytes
+	if failure {
+		lines, bytes = lines+reserveLines, bytes+reserveBytes
+	}
+	if l.lines >= lines || l.bytes+size > bytes {
+		l.omit(failure)
+		return false
+	}
+	l.lines++
+	l.bytes += size
+	return true
+}
+
+func (l *limiter) omit(failure bool) {
+	if failure {
+		l.left.failures++
+	} else {
+		l.left.info++
+	}
+}
+
+// take returns how many lines were left out since the last call.
+func (l *limiter) take() omitted {
+	out := l.left
+	l.left = omitted{}
+	return out
+}
--- /dev/null
+++ b/internal/logsink/sink.go
@@ -0,0 +1,81 @@
+package logsink
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// ringLines is how many lines may wait, a few seconds' worth.
+	ringLines = 1024
+	// reportEvery is how often the number of omitted lines is written.
+	reportEvery = time.Second
+	// flushTimeout bounds the wait for the reader of the log at the end.
+	flushTimeout = 200 * time.Millisecond
+)
+
+// Sink is an io.Writer of whole log lines. It is safe for concurrent use.
+type Sink struct {
+	out     io.Writer
+	started time.Time
+	ring    chan []byte
+
+	mu      sync.Mutex
+	limiter limiter
+}
+
+// New returns a sink that writes to out.
+func New(out io.Writer) *Sink {
+	s := &Sink{out: out, started: time.Now(), ring: make(chan []byte, ringLines)}
+	go s.run()
+	return s
+}
+
+// Write takes in a line of klog, whose first byte is its severity. It never
+// blocks and always succeeds.
+func (s *Sink) Write(line []byte) (int, error) {
+	failure := len(line) > 0 && line[0] != 'I'
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limiter.allow(time.Since(s.started), len(line), failure) {
+		return len(line), nil
+	}
+	select {
+	case s.ring <- append([]byte(nil), line...):
+	default:
+		s.limiter.omit(failure)
+	}
+	return len(line), nil
+}
+
+// Flush waits a little until the lines so far are written.
+func (s *Sink) Flush() {
+	for end := time.Now().Add(flushTimeout); len(s.ring) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// run writes lines. A reader that is gone or slow only costs log lines.
+func (s *Sink) run() {
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
+	for {
+		select {
+		case line := <-s.ring:
+			_, _ = s.out.Write(line)
+		case <-report.C:
+			s.report()
+		}
+	}
+}
+
+func (s *Sink) report() {
+	s.mu.Lock()
+	left := s.limiter.take()
+	s.mu.Unlock()
+	if left != (omitted{}) {
+		_, _ = fmt.Fprintf(s.out, "W \"Left out log lines\" info=%d failures=%d\n", left.info, left.failures)
+	}
+}
--- /dev/null
+++ b/internal/logsink/sink_test.go
@@ -0,0 +1,84 @@
+package logsink
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests that wait for a reader of the log that does not read.
+func TestReaderThatDoesNotReadBlocksNobody(t *testing.T) {
+	_, out := io.Pipe()
+	s := New(out)
+	began := time.Now()
+	for range 100_000 {
+		_, err := s.Write([]byte("E line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
+
+// Load pattern: every request fails and writes lines. Guards against more lines
+// or bytes than the bounds, against success that displaces failures, and against
+// omissions that nobody learns of.
+func TestLinesAreBounded(t *testing.T) {
+	var l limiter
+	for second := range 3 {
+		now := time.Duration(second) * time.Second
+		infos, failures := 0, 0
+		for range 1000 {
+			if l.allow(now, 100, false) {
+				infos++
+			}
+		}
+		for range 1000 {
+			if l.allow(now, 100, true) {
+				failures++
+			}
+		}
+		assert.Equal(t, infos, MaxLines)
+		assert.Equal(t, failures, reserveLines)
+		assert.DeepEqual(t, fmt.Sprint(l.take()), fmt.Sprint(omitted{info: 800, failures: 900}))
+	}
+	assert.Assert(t, !l.allow(9*time.Second, MaxBytes+1, false))
+}
+
+// lockedBuffer is a reader of the log.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Guards against lines that are lost or reordered, and against a process that
+// does not say how many it left out.
+func TestLinesArriveInOrder(t *testing.T) {
+	var out lockedBuffer
+	s := New(&out)
+	for i := range MaxLines + 50 {
+		_, _ = fmt.Fprintf(s, "I line %d\n", i)
+	}
+	s.Flush()
+	time.Sleep(reportEvery + 300*time.Millisecond)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), MaxLines+1)
+	assert.Equal(t, lines[7], "I line 7")
+	assert.Equal(t, lines[MaxLines], `W "Left out log lines" info=50 failures=0`)
+}
--- a/internal/placement/expected.go
+++ b/internal/placement/expected.go
@@ -15,12 +15,19 @@
 // expectedTimes averages the times of replies by route and zone.
 type expectedTimes map[expectedKey]time.Duration
 
-// of returns the expected time, or the fallback before the first reply.
+// of returns the expected time. A zone that has not replied yet counts as the
+// fastest one, so that it is tried.
 func (e expectedTimes) of(route string, zone fleet.Zone) time.Duration {
 	if took, ok := e[expectedKey{route, zone}]; ok {
 		return took
 	}
-	return unknownTime
+	best := unknownTime
+	for key, took := range e {
+		if key.route == route {
+			best = min(best, took)
+		}
+	}
+	return best
 }
 
 // observe takes in the time of a reply. A time far above the average counts
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -251,7 +251,9 @@
 	case Replaced:
 		l.replaced = true
 	case Refused:
+		// Its queue is full, or it sheds load for another reason.
 		l.unanswered = 0
+		l.fail(now, 1)
 	case NotSent:
 	}
 }
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -117,6 +117,31 @@
 	assert.Assert(t, !table.Choices(warm+40*ms, service, route)[1].Sound)
 }
 
+// Load pattern: a leaf sheds load. Guards against a budget that is spent on
+// requests that the same leaf refuses again and again.
+func TestSheddingLeafIsPassedOver(t *testing.T) {
+	table := twoLeaves(t)
+	table.Begin(warm, "a")
+	table.End(warm+ms, "a", route, warm, Refused)
+	always(t, table, warm+2*ms, first("b"))
+}
+
+// Guards against a zone that gets no requests because another one was faster
+// before it was tried.
+func TestZoneWithoutRepliesIsTried(t *testing.T) {
+	table := twoLeaves(t)
+	added := leaves("a", "b", "c")
+	leaf := added["c"]
+	leaf.Zone = "new"
+	added["c"] = leaf
+	table.SetLeaves(warm, added)
+	table.Begin(warm, "a")
+	table.Begin(warm, "b")
+	table.Begin(warm, "a")
+	table.Begin(warm, "b")
+	always(t, table, warm, first("c"))
+}
+
 // Load pattern: a zone is cut off and its leaves neither answer nor refuse.
 // Guards against all requests of a VM going to a leaf that cannot be reached.
 func TestUnreachableLeafGetsOneTrialAtATime(t *testing.T) {
