Judge the way to a zone as a whole, and send callers on from a VM that is cut off

Four requests in a row without a sign of life, and 150 ms without one, now mean that a zone is down; one leaf of it is tried each 200 ms. A VM that reaches no zone but its own and cannot serve every route is not ready, closes callers' connections after the answer, and asks them to come back at once, which brings them to another VM. Changes of leaves share a call for 250 ms. Ruled out by the log: overload, budget (denied=0), connection limits.

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -70,7 +70,7 @@
 
 func config(cfg settings.Node) gateway.Config {
 	return gateway.Config{
-		VM: cfg.VM, Callers: cfg.Callers, Ready: cfg.Ready, Admin: cfg.Admin, ReadyPath: platform.ReadyPath,
+		VM: cfg.VM, Zone: cfg.Zone, Callers: cfg.Callers, Ready: cfg.Ready, Admin: cfg.Admin, ReadyPath: platform.ReadyPath,
 		ExtraLoad: extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack, Filled: cfg.FirstStart},
 		Placement: placement.Config{ColdFactor: cfg.ColdFactor, ColdSlack: cfg.ColdSlack},
 		Grace:     cfg.Grace,
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -9,7 +9,8 @@
 
 // Config is what a VM knows from its settings.
 type Config struct {
-	VM string
+	VM   string
+	Zone string
 	// Callers, Ready and Admin are the addresses to listen on.
 	Callers, Ready, Admin string
 	// ReadyPath is the path of the readiness check.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,9 +19,10 @@
 	// gone deaf while the store dropped its history, and only the next call tells;
 	// the rules hold again four seconds after such a fault.
 	checkWait = 2500 * time.Millisecond
-	// watchPause is the pause between the answer of a watch and the next one, so
-	// that changes that come in a row share a call.
-	watchPause = 60 * time.Millisecond
+	// leafPause is the pause between the answer of a watch of the leaves and the
+	// next one, so that changes that come in a row share a call. A leaf that leaves
+	// goes on serving for seconds.
+	leafPause = 250 * time.Millisecond
 	// followPauseMin and followPauseMax bound the pause after a failed call.
 	followPauseMin = 50 * time.Millisecond
 	followPauseMax = 400 * time.Millisecond
@@ -95,8 +96,8 @@
 	}
 	f.node.apply(f.kind, changes, !f.listed)
 	f.from, f.listed, f.lost, f.pause = changes.Revision, true, false, followPauseMin
-	if len(changes.Events) > 0 {
-		rest(ctx, watchPause)
+	if f.kind == directory.KindLeaves && len(changes.Events) > 0 {
+		rest(ctx, leafPause)
 	}
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -44,14 +44,14 @@
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	n.metrics.requests.Inc(1)
-	if n.drain.Draining() {
+	if n.drain.Draining() || n.cutOff.Load() {
 		// The caller's next request goes to another node.
 		w.Header().Set("Connection", "close")
 	}
 	info := n.codec.Caller(r.Header)
 	conf := n.inForce.Load()
-	if conf == nil {
-		n.refuse(w, info, http.StatusServiceUnavailable, startingRetry, "no configuration yet")
+	if conf == nil || !n.leavesListed.Load() {
+		n.refuse(w, info, http.StatusServiceUnavailable, startingRetry, "no configuration or no leaves yet")
 		return
 	}
 	route := conf.Find(r.Host, r.URL.EscapedPath())
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -32,6 +32,9 @@
 	grace atomic.Int64
 	// inForce is the configuration that requests are handled by.
 	inForce atomic.Pointer[fleet.Configuration]
+	// leavesListed is true once the leaves were read; cutOff is true while this VM
+	// reaches too few leaves.
+	leavesListed, cutOff atomic.Bool
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -115,6 +118,7 @@
 		n.inForce.Store(c)
 	case directory.KindLeaves:
 		n.table.SetLeaves(now, n.directory.Leaves())
+		n.leavesListed.Store(true)
 		n.closePools()
 	case directory.KindEvacuations:
 		n.table.SetEvacuated(n.directory.Evacuated())
@@ -156,5 +160,47 @@
 		"coldFactor", config.Placement.ColdFactor, "coldSlack", config.Placement.ColdSlack, "grace", config.Grace)
 }
 
-// ready reports whether new callers should be sent here.
-func (n *Node) ready() bool { return n.inForce.Load() != nil && !n.drain.Draining() }
+// ready reports whether new callers should be sent here. A VM that is cut off
+// from the other zones and cannot serve every route by itself sends its callers
+// to VMs elsewhere.
+func (n *Node) ready() bool { return n.known() && !n.drain.Draining() && !n.cutOff.Load() }
+
+// known reports whether the configuration and the leaves have been read.
+func (n *Node) known() bool { return n.inForce.Load() != nil && n.leavesListed.Load() }
+
+// judgeReach decides whether this VM is cut off, and returns the leaves to try
+// to learn whether a zone can be reached again. The caller holds mu.
+func (n *Node) judgeReach() []placement.Choice {
+	conf := n.inForce.Load()
+	if conf == nil {
+		return nil
+	}
+	now := n.now()
+	down := n.table.ZonesDown()
+	cutOff := n.table.Isolated(fleet.Zone(n.config.Zone)) && !n.table.Servable(now, conf)
+	if n.cutOff.Swap(cutOff) != cutOff {
+		klog.InfoS("Changed whether this VM is cut off", "cutOff", cutOff, "zonesDown", down)
+	}
+	var trials []placement.Choice
+	for _, zone := range down {
+		if choice, ok := n.table.ZoneTrial(now, zone); ok {
+			trials = append(trials, choice)
+		}
+	}
+	return trials
+}
+
+// tryZone opens a connection to a leaf of a zone that is down.
+func (n *Node) tryZone(ctx context.Context, choice placement.Choice) {
+	conn, err := dialLeaf(ctx, choice.Address)
+	if err != nil {
+		klog.V(1).InfoS("The zone is still down", "zone", choice.Zone, "leaf", choice.ID, "err", err)
+		return
+	}
+	// Only whether it opens matters.
+	_ = conn.Close()
+	klog.InfoS("Reached the zone again", "zone", choice.Zone, "leaf", choice.ID)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Reached(n.now(), choice.Zone)
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -14,9 +14,17 @@
 	"github.com/medlarswitch/medlarswitch/internal/query"
 )
 
-// refusalRetry is when a caller may come back after a request that no leaf could
-// take here: about the time in which a queue of a few requests empties.
-const refusalRetry = 60 * time.Millisecond
+const (
+	// shedRetry is when a caller may come back after leaves had no room: about the
+	// time in which a queue of a few requests empties.
+	shedRetry = 40 * time.Millisecond
+	// unreachableRetry is when a caller may come back after no leaf could be
+	// reached: when the next trial has ended.
+	unreachableRetry = 250 * time.Millisecond
+	// elsewhereRetry is when a caller may come back to another VM, at which the
+	// request can be served.
+	elsewhereRetry = 5 * time.Millisecond
+)
 
 // maxMissingLogged bounds the length of a log line.
 const maxMissingLogged = 4
@@ -90,7 +98,7 @@
 // fail answers a request that got no reply. A refusal says that it did not run.
 func (r *run) fail(w http.ResponseWriter, took time.Duration, answer query.Answer) {
 	n := r.node
-	status, after := http.StatusServiceUnavailable, refusalRetry
+	status, after := http.StatusServiceUnavailable, n.retryAfter(answer)
 	if r.mayHaveRun || len(r.merged) > 0 || r.pending() {
 		status, after = http.StatusBadGateway, 0
 		if took >= r.call.deadline() {
@@ -107,6 +115,19 @@
 	r.log("Not answered", status, took, answer)
 }
 
+// retryAfter is when a caller whose request did not run may come back.
+func (n *Node) retryAfter(answer query.Answer) time.Duration {
+	if n.cutOff.Load() {
+		return elsewhereRetry
+	}
+	for _, m := range answer.Missing {
+		if m.Reason == errs.ReasonNoLeaf || m.Reason == errs.ReasonDown {
+			return unreachableRetry
+		}
+	}
+	return shedRetry
+}
+
 // pending reports whether an attempt was sent whose end is not known.
 func (r *run) pending() bool {
 	for _, a := range r.attempts {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
+	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
 const (
@@ -90,11 +91,14 @@
 	for ctx.Err() == nil {
 		rest(ctx, housekeeping)
 		connections.closeIdle(time.Now())
-		n.expire()
+		for _, choice := range n.expire() {
+			go n.tryZone(ctx, choice)
+		}
 	}
 }
 
-func (n *Node) expire() {
+// expire ends what has expired and returns the leaves to try.
+func (n *Node) expire() []placement.Choice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.directory.Expire(n.now()) {
@@ -106,4 +110,5 @@
 	for _, held := range n.pools {
 		held.pool.Prune(now)
 	}
+	return n.judgeReach()
 }
--- a/internal/placement/constants.go
+++ b/internal/placement/constants.go
@@ -40,6 +40,13 @@
 	// reached is tried again.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
+	// zoneDownAfter requests in a row to leaves of a zone without a sign of life,
+	// and none for zoneDownTime, mean that the zone cannot be reached. At a few
+	// requests a second that takes longer than a pause of a leaf.
+	zoneDownAfter = 4
+	zoneDownTime  = 150 * time.Millisecond
+	// zoneTrialEvery is the time between trials of a zone that is down.
+	zoneTrialEvery = 200 * time.Millisecond
 	// connectionReserve is the part of a leaf's connections that is shared out.
 	// The leaf also counts connections of VMs that have just ended.
 	connectionReserve = 0.9
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -25,6 +25,7 @@
 	evacuated map[fleet.Zone]bool
 	members   int
 	expected  expectedTimes
+	zones     map[fleet.Zone]*zoneState
 	// turn rotates leaves of equal cost.
 	turn int
 }
@@ -34,6 +35,7 @@
 	return &Table{
 		config: config, leaves: make(map[fleet.LeafID]*leaf),
 		services: make(map[fleet.ServiceName][]*leaf), expected: make(expectedTimes),
+		zones: make(map[fleet.Zone]*zoneState),
 	}
 }
 
@@ -169,6 +171,8 @@
 	switch {
 	case l.Leaving || l.replaced || t.evacuated[l.Zone]:
 		return false
+	case !t.zone(l.Zone).mayTry(now):
+		return false
 	case now < l.retryAt || l.unusable > 0 && len(l.started) > 0:
 		return false
 	case l.isCold(now) && l.cold.limit >= 0:
@@ -178,7 +182,7 @@
 }
 
 func (t *Table) sound(now time.Duration, l *leaf, route string) bool {
-	return !t.suspect(now, l, route) && l.failuresNow(now) < failingAbove && l.unusable == 0 && now >= l.silentUntil
+	return !t.zone(l.Zone).down && !t.suspect(now, l, route) && l.failuresNow(now) < failingAbove && l.unusable == 0 && now >= l.silentUntil
 }
 
 func (t *Table) suspect(now time.Duration, l *leaf, route string) bool {
@@ -217,6 +221,9 @@
 		return
 	}
 	l.begin(now)
+	if z := t.zone(l.Zone); z.down {
+		z.trialAt = now + zoneTrialEvery
+	}
 	if l.isCold(now) {
 		l.cold.take(now)
 	}
@@ -231,6 +238,7 @@
 	l.end(began)
 	took := now - began
 	expected := t.expected.of(route, l.Zone)
+	t.noteZone(now, l, route, took, outcome)
 	switch outcome {
 	case Replied:
 		l.unusable, l.unanswered = 0, 0
@@ -258,6 +266,21 @@
 	}
 }
 
+// noteZone takes in what a request says of the way to its leaf's zone.
+func (t *Table) noteZone(now time.Duration, l *leaf, route string, took time.Duration, outcome Outcome) {
+	switch outcome {
+	case Replied, Refused, Replaced:
+		t.zoneReplied(now, l.Zone)
+	case Unreachable:
+		t.zone(l.Zone).failed(now)
+	case TimedOut, Abandoned:
+		if took >= t.suspectAge(l, route) {
+			t.zone(l.Zone).failed(now)
+		}
+	case Failed, NotSent:
+	}
+}
+
 // unanswered counts a request that ended without a reply after the time in which
 // one was due. Two in a row make the leaf silent for a while.
 func (t *Table) unanswered(now time.Duration, l *leaf, route string, took time.Duration) {
