Keep leaves whose entries lapsed behind a waiting watch

Cause (incident inc-5c4b): the store was away while all entries lapsed; only the follower of the leaves reported outages, and its watch had waited through this one, so the removals took effect at once and every query was refused for 1.5 s. Outages are now seen by any call, by a time without answers, and by the share of the leaves that go at once. Ruled out by the log: failed dials, connection limits, the zone state. Test: TestEntriesThatLapseBehindAWaitingWatch, fails without the change.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,12 @@
 	// outageAfter is how long the store must have been failing for its return
 	// to count as the end of an outage. A watch that is cut and resumed is none.
 	outageAfter = 500 * time.Millisecond
+	// quietOutage is a time without any answer that counts as an outage even if no
+	// call has failed. Some call is answered each CheckInterval.
+	quietOutage = CheckInterval + 700*time.Millisecond
+	// lapsedTogether is the share of the leaves whose entries do not go at once but
+	// by an outage of the store. A planned stop takes away a few at a time.
+	lapsedTogether = 0.25
 	// returnGrace is how long a leaf whose entry is missing after an outage stays
 	// in use. The platform promises that entries of living leaves are back within
 	// about two seconds of the store's return.
@@ -19,6 +25,10 @@
 	memberLifetime = 3 * MemberRefresh
 )
 
+// CheckInterval is the longest time between two answers of the store while it is
+// reachable.
+const CheckInterval = 2500 * time.Millisecond
+
 // MemberRefresh is the time between two refreshes of a member entry.
 const MemberRefresh = 10 * time.Second
 
@@ -35,6 +45,9 @@
 	// failingSince is when the store stopped answering; away is true since then.
 	failingSince time.Duration
 	away         bool
+	// answeredAt is when the store last answered, if answered is true.
+	answeredAt time.Duration
+	answered   bool
 	// graceUntil is until when missing leaves count as lapsed.
 	graceUntil time.Duration
 }
@@ -54,7 +67,7 @@
 	}
 }
 
-// StoreFailed takes in that a call for the leaves failed.
+// StoreFailed takes in that a call of any kind failed.
 func (d *Directory) StoreFailed(now time.Duration) {
 	if !d.away {
 		d.away = true
@@ -62,11 +75,16 @@
 	}
 }
 
-// StoreAnswered takes in that a call for the leaves succeeded. It must come
-// before the events of that call. It reports whether an outage ended.
+// StoreAnswered takes in that a call of any kind succeeded. It must come before
+// the events of that call. It reports whether an outage ended. The watch of the
+// leaves alone would not tell: it may wait through an outage and then hear at
+// once that entries have lapsed.
 func (d *Directory) StoreAnswered(now time.Duration) bool {
-	ended := d.away && now-d.failingSince >= outageAfter
-	d.away = false
+	failed := d.away && now-d.failingSince >= outageAfter
+	quiet := d.answered && now-d.answeredAt >= quietOutage
+	ended := failed || quiet
+	d.away, d.answered = false, true
+	d.answeredAt = now
 	if ended {
 		d.graceUntil = now + returnGrace
 	}
@@ -89,6 +107,27 @@
 	}
 }
 
+// ChangedTogether takes in the changes of one answer.
+func (d *Directory) ChangedTogether(now time.Duration, events []Event) {
+	removed := 0
+	for _, event := range events {
+		if ev, ok := event.(LeafRemoved); ok && !d.leaves[ev.ID].Leaving {
+			removed++
+		}
+	}
+	d.noteLapse(now, removed)
+	for _, event := range events {
+		d.Changed(now, event)
+	}
+}
+
+// noteLapse begins a grace when the entries of many leaves are gone at once.
+func (d *Directory) noteLapse(now time.Duration, removed int) {
+	if removed > 1 && float64(removed) >= lapsedTogether*float64(len(d.leaves)) {
+		d.graceUntil = max(d.graceUntil, now+returnGrace)
+	}
+}
+
 // Changed takes in one change.
 func (d *Directory) Changed(now time.Duration, event Event) {
 	switch ev := event.(type) {
@@ -159,6 +198,13 @@
 			listed[ev.Leaf.ID] = true
 		}
 	}
+	missing := 0
+	for id, leaf := range d.leaves {
+		if !listed[id] && !leaf.Leaving {
+			missing++
+		}
+	}
+	d.noteLapse(now, missing)
 	for id := range d.leaves {
 		if !listed[id] {
 			d.removeLeaf(now, id)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,16 +41,55 @@
 		t.Run(row.name, func(t *testing.T) {
 			d := New()
 			leaf := fleet.Leaf{ID: "a", Leaving: row.leaving}
-			d.Listed(0, KindLeaves, []Event{LeafSet{leaf}, leafSet("b")})
+			d.StoreAnswered(back - row.outage)
+			d.Listed(0, KindLeaves, append(others(), LeafSet{leaf}))
 			d.StoreFailed(back - row.outage)
 			d.StoreAnswered(back)
-			d.Listed(back, KindLeaves, []Event{leafSet("b")})
+			d.Listed(back, KindLeaves, others())
 			if row.keptAt >= 0 {
 				d.Expire(back + row.keptAt)
-				assert.Equal(t, len(d.Leaves()), 2)
+				assert.Equal(t, len(d.Leaves()), len(others())+1)
 			}
 			d.Expire(back + row.goneAt)
-			assert.Equal(t, len(d.Leaves()), 1)
+			assert.Equal(t, len(d.Leaves()), len(others()))
+		})
+	}
+}
+
+// others are leaves besides the one that a test is about.
+func others() []Event {
+	var out []Event
+	for i := range 9 {
+		out = append(out, leafSet(fmt.Sprint("other-", i)))
+	}
+	return out
+}
+
+// Load pattern: the store is silent while the watch of the leaves waits, and the
+// first thing it hears is that all entries have lapsed (incident inc-5c4b: every
+// query was refused for a second and a half). Guards against dropping them.
+func TestEntriesThatLapseBehindAWaitingWatch(t *testing.T) {
+	rows := map[string]func(d *Directory){
+		"another watch failed":     func(d *Directory) { d.StoreAnswered(8 * time.Second); d.StoreFailed(9 * time.Second) },
+		"no call was answered":     func(d *Directory) { d.StoreAnswered(6 * time.Second) },
+		"nothing but the removals": func(d *Directory) { d.StoreAnswered(9900 * time.Millisecond) },
+	}
+	for name, outage := range rows {
+		t.Run(name, func(t *testing.T) {
+			d := New()
+			d.Listed(0, KindLeaves, others())
+			outage(d)
+			d.StoreAnswered(10 * time.Second)
+			var lapsed []Event
+			for _, event := range others() {
+				lapsed = append(lapsed, LeafRemoved{event.(LeafSet).Leaf.ID})
+			}
+			d.ChangedTogether(10*time.Second, lapsed)
+			d.Expire(12 * time.Second)
+			assert.Equal(t, len(d.Leaves()), len(others()))
+			d.ChangedTogether(12*time.Second, others()[:4])
+			d.Expire(12300 * time.Millisecond)
+			assert.Equal(t, len(d.Leaves()), 4)
 		})
 	}
 }
@@ -74,7 +114,8 @@
 	d.Listed(0, KindLeaves, []Event{leafSet("a")})
 	d.StoreFailed(time.Second)
 	d.StoreAnswered(5 * time.Second)
-	d.Changed(8*time.Second, LeafRemoved{"a"})
+	d.StoreAnswered(8 * time.Second)
+	d.ChangedTogether(8*time.Second, []Event{LeafRemoved{"a"}})
 	assert.Equal(t, len(d.Leaves()), 0)
 }
 
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -6,20 +6,22 @@
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 )
 
+// maxChangesLogged is the number of changes in one answer of the store that are
+// logged one by one.
+const maxChangesLogged = 8
+
 // apply brings changes into force. all is true for a complete listing.
 func (n *Node) apply(kind directory.Kind, changes Changes, all bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	if kind == directory.KindLeaves && n.directory.StoreAnswered(now) {
+	if n.directory.StoreAnswered(now) {
 		klog.InfoS("The store is back after an outage, missing leaves stay in use for a while")
 	}
 	if all {
 		n.directory.Listed(now, kind, changes.Events)
 	} else {
-		for _, event := range changes.Events {
-			n.directory.Changed(now, event)
-		}
+		n.directory.ChangedTogether(now, changes.Events)
 	}
 	logChanges(kind, changes, all)
 	if all || len(changes.Events) > 0 {
@@ -33,6 +35,10 @@
 	if all {
 		klog.InfoS("Listed", "kind", kind, "revision", changes.Revision, "objects", len(changes.Events))
 	}
+	if !all && len(changes.Events) > maxChangesLogged {
+		klog.InfoS("Changed", "kind", kind, "revision", changes.Revision, "objects", len(changes.Events), "removed", removed(changes))
+		all = true
+	}
 	for _, event := range changes.Events {
 		if ev, ok := event.(directory.Unreadable); ok {
 			klog.InfoS("Ignored an object that cannot be read", "kind", kind, "name", ev.Name, "err", ev.Err)
@@ -42,6 +48,17 @@
 	}
 }
 
+// removed is how many leaves changes remove.
+func removed(changes Changes) int {
+	n := 0
+	for _, event := range changes.Events {
+		if _, ok := event.(directory.LeafRemoved); ok {
+			n++
+		}
+	}
+	return n
+}
+
 func logChange(revision uint64, event directory.Event) {
 	switch ev := event.(type) {
 	case directory.ConfigurationSet:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -18,7 +18,7 @@
 	// checkWait is the wait of the watch of the configuration. A watch may have
 	// gone deaf while the store dropped its history, and only the next call tells;
 	// the rules hold again four seconds after such a fault.
-	checkWait = 2500 * time.Millisecond
+	checkWait = directory.CheckInterval
 	// leafPause is the pause between the answer of a watch of the leaves and the
 	// next one, so that changes that come in a row share a call. A leaf that leaves
 	// goes on serving for seconds.
@@ -106,7 +106,7 @@
 		klog.InfoS("Lost the store", "kind", f.kind, "revision", f.from, "err", err)
 	}
 	f.lost = true
-	f.node.storeFailed(f.kind)
+	f.node.storeFailed()
 	rest(ctx, f.pause+rand.N(f.pause))
 	f.pause = min(2*f.pause, followPauseMax)
 }
@@ -123,11 +123,8 @@
 	}
 }
 
-func (n *Node) storeFailed(kind directory.Kind) {
+func (n *Node) storeFailed() {
 	n.metrics.storeErrors.Inc(1)
-	if kind != directory.KindLeaves {
-		return
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.directory.StoreFailed(n.now())
