--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
+	"github.com/medlarswitch/medlarswitch/internal/pause"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
@@ -88,8 +89,15 @@
 
 // housekeep ends what has expired.
 func (n *Node) housekeep(ctx context.Context, connections *callerConns) {
+	pauses := pause.New(housekeeping, pause.DefaultTolerance)
+	last := n.now()
 	for ctx.Err() == nil {
 		rest(ctx, housekeeping)
+		now := n.now()
+		if pauses.Tick(now) {
+			klog.ErrorS(nil, "Paused", "for", now-last)
+		}
+		last = now
 		connections.closeIdle(time.Now())
 		for _, choice := range n.expire() {
 			go n.tryZone(ctx, choice)
