Read the store at a few VMs and from them at the others

The seeds that the settings name now read the store; the others read from seeds in frames, with the store's own revisions, and go to the store themselves when no seed gives anything fresh. A VM that the store turns away reads from a seed. Decisions: objectfeed (copies and their history), feedsource (where to read); peerfeed is the shell. Members are followed like other kinds and refresh each 30 s.

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/command"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
+	"github.com/medlarswitch/medlarswitch/internal/feedsource"
 	"github.com/medlarswitch/medlarswitch/internal/gateway"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
@@ -23,6 +24,8 @@
   callers = "10.0.0.1:8104"      # callers' requests
   ready = "10.0.0.1:8108"        # readiness check of the balancer
   admin = "10.0.0.1:7380"        # metrics as text
+  peers = "10.0.0.1:8106"        # other VMs
+  seeds = ["10.0.0.1:8106"]      # VMs that read the store for the others
   store = "10.200.1.7:8102"      # the platform's object store
   first_start = false            # true when the whole system starts for the first time
   grace = "6s"                   # from SIGTERM to SIGKILL
@@ -71,6 +74,8 @@
 func config(cfg settings.Node) gateway.Config {
 	return gateway.Config{
 		VM: cfg.VM, Zone: cfg.Zone, Callers: cfg.Callers, Ready: cfg.Ready, Admin: cfg.Admin, ReadyPath: platform.ReadyPath,
+		Peers:     cfg.Peers,
+		Source:    feedsource.Config{Self: cfg.Peers, Seeds: cfg.Seeds, FirstStart: cfg.FirstStart},
 		ExtraLoad: extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack, Filled: cfg.FirstStart},
 		Placement: placement.Config{ColdFactor: cfg.ColdFactor, ColdSlack: cfg.ColdSlack},
 		Grace:     cfg.Grace,
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -13,6 +13,9 @@
 	KindMembers
 )
 
+// Kinds are all kinds.
+var Kinds = []Kind{KindConfiguration, KindLeaves, KindEvacuations, KindMembers}
+
 // String returns the kind's name in logs.
 func (k Kind) String() string {
 	return [...]string{"configuration", "leaves", "evacuations", "members"}[k]
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -4,54 +4,72 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
+	"github.com/medlarswitch/medlarswitch/internal/feedsource"
+	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
+	"github.com/medlarswitch/medlarswitch/internal/peerfeed"
 )
 
 // maxChangesLogged is the number of changes in one answer of the store that are
 // logged one by one.
 const maxChangesLogged = 8
 
-// apply brings changes into force. all is true for a complete listing.
-func (n *Node) apply(kind directory.Kind, changes Changes, all bool) {
+// apply brings changes into force and keeps them for other VMs.
+func (n *Node) apply(kind directory.Kind, in objectfeed.Changes) {
+	n.hub.Apply(peerfeed.Kind(kind), in)
+	changes := decoded{revision: in.Revision, all: in.All}
+	for _, object := range in.Objects {
+		changes.events = append(changes.events, n.store.Decode(kind, object)...)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	if n.directory.StoreAnswered(now) {
+	if in.Age > feedsource.MaxAge {
+		n.directory.StoreFailed(now)
+	} else if n.directory.StoreAnswered(now) {
 		klog.InfoS("The store is back after an outage, missing leaves stay in use for a while")
 	}
-	if all {
-		n.directory.Listed(now, kind, changes.Events)
+	if changes.all {
+		n.directory.Listed(now, kind, changes.events)
 	} else {
-		n.directory.ChangedTogether(now, changes.Events)
+		n.directory.ChangedTogether(now, changes.events)
 	}
-	logChanges(kind, changes, all)
-	if all || len(changes.Events) > 0 {
+	logChanges(kind, changes)
+	if changes.all || len(changes.events) > 0 {
 		n.refresh(kind)
 	}
 }
 
+// decoded are changes with what they mean.
+type decoded struct {
+	revision uint64
+	all      bool
+	events   []directory.Event
+}
+
 // logChanges writes one line per change of what this VM believes. A listing is
 // one line.
-func logChanges(kind directory.Kind, changes Changes, all bool) {
+func logChanges(kind directory.Kind, changes decoded) {
+	all := changes.all
 	if all {
-		klog.InfoS("Listed", "kind", kind, "revision", changes.Revision, "objects", len(changes.Events))
+		klog.InfoS("Listed", "kind", kind, "revision", changes.revision, "objects", len(changes.events))
 	}
-	if !all && len(changes.Events) > maxChangesLogged {
-		klog.InfoS("Changed", "kind", kind, "revision", changes.Revision, "objects", len(changes.Events), "removed", removed(changes))
+	if !all && len(changes.events) > maxChangesLogged {
+		klog.InfoS("Changed", "kind", kind, "revision", changes.revision, "objects", len(changes.events), "removed", removed(changes))
 		all = true
 	}
-	for _, event := range changes.Events {
+	for _, event := range changes.events {
 		if ev, ok := event.(directory.Unreadable); ok {
 			klog.InfoS("Ignored an object that cannot be read", "kind", kind, "name", ev.Name, "err", ev.Err)
 		} else if !all {
-			logChange(changes.Revision, event)
+			logChange(changes.revision, event)
 		}
 	}
 }
 
 // removed is how many leaves changes remove.
-func removed(changes Changes) int {
+func removed(changes decoded) int {
 	n := 0
-	for _, event := range changes.Events {
+	for _, event := range changes.events {
 		if _, ok := event.(directory.LeafRemoved); ok {
 			n++
 		}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
+	"github.com/medlarswitch/medlarswitch/internal/feedsource"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
@@ -15,6 +16,9 @@
 	Callers, Ready, Admin string
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
+	// Peers is the address on which this VM answers others.
+	Peers     string
+	Source    feedsource.Config
 	ExtraLoad extraload.Config
 	Placement placement.Config
 	// Grace is the time from the stop signal to the kill.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
+	"github.com/medlarswitch/medlarswitch/internal/feedsource"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
 )
 
 const (
@@ -19,13 +21,25 @@
 	// gone deaf while the store dropped its history, and only the next call tells;
 	// the rules hold again four seconds after such a fault.
 	checkWait = directory.CheckInterval
-	// leafPause is the pause between the answer of a watch of the leaves and the
-	// next one, so that changes that come in a row share a call. A leaf that leaves
-	// goes on serving for seconds.
-	leafPause = 250 * time.Millisecond
-	// followPauseMin and followPauseMax bound the pause after a failed call.
-	followPauseMin = 50 * time.Millisecond
-	followPauseMax = 400 * time.Millisecond
+	// peerWait is how long a watch at another VM waits. It costs no call of the
+	// store and shows soon that the other VM is gone.
+	peerWait = time.Second
+	// noSourcePause is the pause while no source may be tried.
+	noSourcePause = 50 * time.Millisecond
+)
+
+// pauses are the pauses between the answer of a watch and the next one, so that
+// changes that come in a row share a call. A leaf that leaves goes on serving for
+// seconds, and shares of members may be seconds old.
+var pauses = map[directory.Kind]time.Duration{
+	directory.KindLeaves:  250 * time.Millisecond,
+	directory.KindMembers: time.Second,
+}
+
+var (
+	errPeerNotReady = errors.New("the VM has nothing to give yet")
+	errPeerBehind   = errors.New("the VM has an older revision")
+	errPeerOld      = errors.New("the VM has not heard of the store for too long")
 )
 
 // errRelist ends the watch of a kind whose objects must be listed anew.
@@ -41,13 +55,12 @@
 	from   uint64
 	listed bool
 	lost   bool
-	pause  time.Duration
 	// cancel ends the call that is under way; guarded by the node's mu.
 	cancel context.CancelCauseFunc
 }
 
 func newFollower(n *Node, kind directory.Kind) *follower {
-	f := &follower{node: n, kind: kind, wait: watchWait, pause: followPauseMin}
+	f := &follower{node: n, kind: kind, wait: watchWait}
 	if kind == directory.KindConfiguration {
 		f.wait = checkWait
 	}
@@ -62,53 +75,113 @@
 }
 
 func (f *follower) turn(ctx context.Context) {
+	source, ok := f.node.source()
+	if !ok {
+		rest(ctx, noSourcePause)
+		return
+	}
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.node.mu.Lock()
 	f.cancel = cancel
 	f.node.mu.Unlock()
-	changes, err := f.fetch(callCtx)
+	changes, err := f.fetch(callCtx, source)
 	switch {
 	case err == nil:
-		f.take(ctx, changes)
+		f.take(ctx, source, changes)
 	case errors.Is(context.Cause(callCtx), errRelist):
 		f.listed = false
 	case errors.Is(err, ErrHistoryGone):
-		klog.InfoS("The store has dropped the history, listing all kinds anew", "kind", f.kind, "revision", f.from)
+		klog.InfoS("The history is gone, listing anew", "kind", f.kind, "revision", f.from, "peer", source.Peer)
 		f.listed = false
-		f.node.relistOthers(f)
+		if source.IsStore() {
+			f.node.relistOthers(f)
+		}
 	case ctx.Err() == nil:
-		f.fail(ctx, err)
+		f.fail(source, err)
 	}
 }
 
-func (f *follower) fetch(ctx context.Context) (Changes, error) {
-	f.node.metrics.storeCalls.Inc(1)
-	if !f.listed {
+func (f *follower) fetch(ctx context.Context, source feedsource.Source) (objectfeed.Changes, error) {
+	switch {
+	case !source.IsStore():
+		return f.ask(ctx, source)
+	case !f.listed:
+		f.node.metrics.storeCalls.Inc(1)
 		return f.node.store.List(ctx, f.kind)
+	default:
+		f.node.metrics.storeCalls.Inc(1)
+		return f.node.store.Watch(ctx, f.kind, f.from, f.wait)
 	}
-	return f.node.store.Watch(ctx, f.kind, f.from, f.wait)
 }
 
-func (f *follower) take(ctx context.Context, changes Changes) {
+// ask reads from another VM.
+func (f *follower) ask(ctx context.Context, source feedsource.Source) (objectfeed.Changes, error) {
+	f.node.metrics.peerCalls.Inc(1)
+	answer, err := f.node.peers.Ask(ctx, source.Peer, message.FeedRequest{
+		Kind: uint8(f.kind), List: !f.listed, From: f.from, Wait: peerWait,
+	})
+	switch {
+	case err != nil:
+		return objectfeed.Changes{}, err
+	case !answer.Ready:
+		return objectfeed.Changes{}, errPeerNotReady
+	case answer.Gone:
+		return objectfeed.Changes{}, ErrHistoryGone
+	case answer.Changes.Revision < f.from:
+		return objectfeed.Changes{}, errPeerBehind
+	}
+	return answer.Changes, nil
+}
+
+// take brings changes into force. A peer that has not heard of the store for too
+// long is passed over; what it knows is taken all the same.
+func (f *follower) take(ctx context.Context, source feedsource.Source, changes objectfeed.Changes) {
 	if f.lost {
-		klog.InfoS("Regained the store", "kind", f.kind, "revision", changes.Revision)
+		klog.InfoS("Regained a source", "kind", f.kind, "revision", changes.Revision, "peer", source.Peer, "age", changes.Age)
+	}
+	f.lost = false
+	f.node.apply(f.kind, changes)
+	f.from, f.listed = changes.Revision, true
+	if changes.Age > feedsource.MaxAge {
+		f.fail(source, errPeerOld)
+		return
 	}
-	f.node.apply(f.kind, changes, !f.listed)
-	f.from, f.listed, f.lost, f.pause = changes.Revision, true, false, followPauseMin
-	if f.kind == directory.KindLeaves && len(changes.Events) > 0 {
-		rest(ctx, leafPause)
+	f.node.answered(source)
+	if len(changes.Objects) > 0 {
+		rest(ctx, pauses[f.kind])
 	}
 }
 
-func (f *follower) fail(ctx context.Context, err error) {
+func (f *follower) fail(source feedsource.Source, err error) {
 	if !f.lost {
-		klog.InfoS("Lost the store", "kind", f.kind, "revision", f.from, "err", err)
+		klog.ErrorS(err, "Lost a source", "kind", f.kind, "revision", f.from, "peer", source.Peer)
 	}
 	f.lost = true
-	f.node.storeFailed()
-	rest(ctx, f.pause+rand.N(f.pause))
-	f.pause = min(2*f.pause, followPauseMax)
+	f.node.sourceFailed(source)
+}
+
+// source returns from where to read.
+func (n *Node) source() (feedsource.Source, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sources.Next(n.now())
+}
+
+func (n *Node) answered(source feedsource.Source) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sources.Answered(source)
+}
+
+func (n *Node) sourceFailed(source feedsource.Source) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sources.Failed(n.now(), source)
+	if source.IsStore() {
+		n.metrics.storeErrors.Inc(1)
+		n.directory.StoreFailed(n.now())
+	}
 }
 
 // relistOthers makes the other followers list their kinds: a history that is
@@ -123,13 +196,6 @@
 	}
 }
 
-func (n *Node) storeFailed() {
-	n.metrics.storeErrors.Inc(1)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.directory.StoreFailed(n.now())
-}
-
 // rest waits, but not longer than the context.
 func rest(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -9,39 +9,21 @@
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 )
 
-const (
-	// joinRetry is the pause after a member entry that could not be written.
-	joinRetry = time.Second
-	// settleTime is the wait between writing the own entry and reading all: VMs
-	// that start together have written theirs by then.
-	settleTime = 2 * time.Second
-)
+// joinRetry is the pause after a member entry that could not be written.
+const joinRetry = 2 * time.Second
 
-// stayMember writes the member entry of this VM and reads those of the others
-// until the context is done.
+// stayMember writes the member entry of this VM until the context is done.
 func (n *Node) stayMember(ctx context.Context) {
 	refresh := uint64(time.Now().UnixNano())
 	for ctx.Err() == nil {
 		refresh++
+		wait := directory.MemberRefresh
 		if err := n.store.Join(ctx, n.config.VM, refresh); err != nil {
-			klog.InfoS("Cannot write the member entry", "err", err)
-			rest(ctx, joinRetry)
-			continue
+			klog.ErrorS(err, "Cannot write the member entry")
+			wait = joinRetry
 		}
-		rest(ctx, settleTime)
-		n.readMembers(ctx)
-		rest(ctx, directory.MemberRefresh-settleTime)
-	}
-}
-
-func (n *Node) readMembers(ctx context.Context) {
-	n.metrics.storeCalls.Inc(1)
-	changes, err := n.store.List(ctx, directory.KindMembers)
-	if err != nil {
-		klog.InfoS("Cannot read the members", "err", err)
-		return
+		rest(ctx, wait)
 	}
-	n.apply(directory.KindMembers, changes, true)
 }
 
 // leave removes the member entry of this VM, so that the others take its share.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,7 +22,7 @@
 
 	requests, answered, partial, refused, failed, gone metrics.Counter
 	leafSends, extraSends, leafFailures                metrics.Counter
-	storeCalls, storeErrors                            metrics.Counter
+	storeCalls, storeErrors, peerCalls                 metrics.Counter
 	latency, leafLatency                               metrics.Histogram
 }
 
@@ -38,7 +38,8 @@
 		leafSends: counter("leaf_requests_total"), extraSends: counter("leaf_requests_extra_total"),
 		leafFailures: counter("leaf_failures_total"),
 		storeCalls:   counter("store_calls_total"), storeErrors: counter("store_errors_total"),
-		latency: histogram("request_ms"), leafLatency: histogram("leaf_request_ms"),
+		peerCalls: counter("peer_calls_total"),
+		latency:   histogram("request_ms"), leafLatency: histogram("leaf_request_ms"),
 	}
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,11 +13,16 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
+	"github.com/medlarswitch/medlarswitch/internal/feedsource"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
 	"github.com/medlarswitch/medlarswitch/internal/latency"
 	"github.com/medlarswitch/medlarswitch/internal/leafconn"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
+	"github.com/medlarswitch/medlarswitch/internal/peerfeed"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
+	"github.com/medlarswitch/medlarswitch/internal/timeline"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
 )
 
 // Node is one VM. Its decisions are guarded by mu.
@@ -27,7 +33,15 @@
 	started time.Time
 	drain   *lifecycle.Drain
 	metrics *nodeMetrics
-
+	// hub answers other VMs, peers asks them over links.
+	hub    *peerfeed.Hub
+	peers  *peerfeed.Client
+	links  *wire.Links
+	server *wire.Server
+
+	// work is done when the node has stopped.
+	work   context.Context
+	cancel context.CancelFunc
 	// grace is the time from the stop signal to the kill, a time.Duration.
 	grace atomic.Int64
 	// inForce is the configuration that requests are handled by.
@@ -43,6 +57,7 @@
 	splitter  *fleet.Splitter
 	delays    *latency.Table
 	pools     map[fleet.LeafID]*pooled
+	sources   *feedsource.Chooser
 	// followers is not changed after the node was built.
 	followers []*follower
 }
@@ -61,15 +76,34 @@
 		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry()),
 		directory: directory.New(), table: placement.New(config.Placement),
 		ledger: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(),
-		delays: latency.NewTable(), pools: make(map[fleet.LeafID]*pooled),
+		sources: feedsource.New(config.Source), delays: latency.NewTable(), pools: make(map[fleet.LeafID]*pooled),
 	}
+	n.work, n.cancel = context.WithCancel(context.Background())
 	n.grace.Store(int64(config.Grace))
-	for _, kind := range []directory.Kind{directory.KindConfiguration, directory.KindLeaves, directory.KindEvacuations} {
+	n.connect()
+	for _, kind := range directory.Kinds {
 		n.followers = append(n.followers, newFollower(n, kind))
 	}
 	return n
 }
 
+// connect prepares the connections between VMs.
+func (n *Node) connect() {
+	n.hub = peerfeed.NewHub(n.now)
+	self := wire.Hello{
+		VM: topology.VMID(n.config.VM), Boot: topology.BootID(rand.Uint64()), Zone: topology.Zone(n.config.Zone), Role: wire.RoleNode,
+	}
+	options := wire.Options{Clock: timeline.NewClock(time.Now), Handler: n.hub.Handle, Stats: wire.NewStats(n.metrics.registry)}
+	n.links = wire.NewLinks(self, options)
+	n.links.RedialMax = peerRedialMax
+	n.peers = peerfeed.NewClient(n.links)
+	n.server = wire.NewServer(self, options)
+}
+
+// peerRedialMax bounds the pause between dials of a seed that is down, which is
+// the time in which a VM returns to it.
+const peerRedialMax = time.Second
+
 // now is the monotonic time that decisions work with.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
@@ -155,6 +189,8 @@
 	defer n.mu.Unlock()
 	n.ledger.SetConfig(config.ExtraLoad)
 	n.table.SetConfig(config.Placement)
+	n.sources.SetConfig(config.Source)
+	n.links.Set(n.work, n.sources.Peers())
 	n.grace.Store(int64(config.Grace))
 	klog.InfoS("Read the settings anew", "extraRatio", config.ExtraLoad.Ratio, "extraSlack", config.ExtraLoad.Slack,
 		"coldFactor", config.Placement.ColdFactor, "coldSlack", config.Placement.ColdSlack, "grace", config.Grace)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
@@ -16,19 +17,15 @@
 // forgotten: the objects must be listed anew.
 var ErrHistoryGone = errors.New("the store has forgotten the history since that revision")
 
-// Changes is what the store says of a kind up to a revision.
-type Changes struct {
-	Revision uint64
-	Events   []directory.Event
-}
-
 // Store is the platform's object store. It is safe for concurrent use.
 type Store interface {
 	// List returns all objects of a kind.
-	List(ctx context.Context, kind directory.Kind) (Changes, error)
+	List(ctx context.Context, kind directory.Kind) (objectfeed.Changes, error)
 	// Watch returns what changed after a revision, waiting for the first change
 	// but not longer than wait.
-	Watch(ctx context.Context, kind directory.Kind, from uint64, wait time.Duration) (Changes, error)
+	Watch(ctx context.Context, kind directory.Kind, from uint64, wait time.Duration) (objectfeed.Changes, error)
+	// Decode returns what an object means; an object without a meaning gives none.
+	Decode(kind directory.Kind, object objectfeed.Object) []directory.Event
 	// Join writes the member entry of a VM, Leave removes it.
 	Join(ctx context.Context, vm string, refresh uint64) error
 	Leave(ctx context.Context, vm string) error
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,8 +30,8 @@
 func (n *Node) Run(ctx context.Context) error {
 	// What follows the store outlives the stop signal: requests are served and
 	// configurations come into force while the node drains.
-	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
+	work := n.work
+	defer n.cancel()
 	connections := newCallerConns(n)
 	callers := &http.Server{
 		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, ConnState: connections.changed,
@@ -39,7 +39,7 @@
 	}
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: n.metrics, ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	for addr, server := range map[string]*http.Server{n.config.Callers: callers, n.config.Ready: ready, n.config.Admin: admin} {
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -47,6 +47,14 @@
 		}
 		go func() { failed <- server.Serve(ln) }()
 	}
+	peers, err := net.Listen("tcp", n.config.Peers)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", n.config.Peers)
+	}
+	defer peers.Close()
+	defer n.server.Close()
+	go func() { failed <- n.server.Serve(work, peers) }()
+	n.links.Set(work, n.sources.Peers())
 	for _, f := range n.followers {
 		go f.run(work)
 	}
--- /dev/null
+++ b/internal/objectfeed/cache_test.go
@@ -0,0 +1,84 @@
+package objectfeed
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a reader that goes on at another copy with its revision and
+// ends with other objects than the store has: a lost change, a change that is
+// undone by an older one, or a deletion that is missed.
+func TestReadersEndWithTheStoresObjects(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string]string{}
+		var copies [2]Cache
+		for i := range copies {
+			copies[i].Apply(Changes{Revision: 1, All: true})
+		}
+		revision := uint64(1)
+		reader, at := map[string]string{}, uint64(0)
+		var pending [2][]Object
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			name := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "object"))
+			revision++
+			o := Object{Name: name, Text: []byte(fmt.Sprint(revision))}
+			if rapid.Bool().Draw(t, "delete") {
+				o = Object{Name: name, Deleted: true}
+				delete(store, name)
+			} else {
+				store[name] = string(o.Text)
+			}
+			for i := range copies {
+				pending[i] = append(pending[i], o)
+				if rapid.Bool().Draw(t, "apply") {
+					copies[i].Apply(Changes{Revision: revision, Objects: pending[i]})
+					pending[i] = nil
+				}
+			}
+			at = read(&copies[rapid.IntRange(0, 1).Draw(t, "copy")], reader, at)
+		}
+		copies[0].Apply(Changes{Revision: revision, Objects: pending[0]})
+		at = read(&copies[0], reader, at)
+		if at != revision || fmt.Sprint(reader) != fmt.Sprint(store) {
+			t.Fatalf("at %d of %d: %v, the store has %v", at, revision, reader, store)
+		}
+	})
+}
+
+func read(c *Cache, reader map[string]string, at uint64) uint64 {
+	changes, ok := c.Since(at)
+	if !ok {
+		if changes, ok = c.List(); !ok || changes.Revision < at {
+			return at
+		}
+		clear(reader)
+	}
+	for _, o := range changes.Objects {
+		if o.Deleted {
+			delete(reader, o.Name)
+		} else {
+			reader[o.Name] = string(o.Text)
+		}
+	}
+	return changes.Revision
+}
+
+// Guards against a copy that grows without bound, and against a reader that is
+// told too little after the history was cut.
+func TestHistoryIsBounded(t *testing.T) {
+	var c Cache
+	_, ok := c.Since(0)
+	assert.Assert(t, !ok)
+	c.Apply(Changes{Revision: 1, All: true})
+	for i := range 3 * maxHistory {
+		c.Apply(Changes{Revision: uint64(i + 2), Objects: []Object{{Name: "a"}}})
+	}
+	assert.Equal(t, len(c.history), maxHistory)
+	_, ok = c.Since(5)
+	assert.Assert(t, !ok)
+	_, ok = c.Since(c.base)
+	assert.Assert(t, ok)
+}
--- /dev/null
+++ b/internal/peerfeed/client.go
@@ -0,0 +1,36 @@
+package peerfeed
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/topology"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// Client asks other VMs. It is safe for concurrent use.
+type Client struct{ links *wire.Links }
+
+// NewClient returns a client that uses the connections of links.
+func NewClient(links *wire.Links) *Client { return &Client{links: links} }
+
+// answerMargin is how much longer than its wait a call may take.
+const answerMargin = 500 * time.Millisecond
+
+// Ask sends a request to the VM at an address.
+func (c *Client) Ask(ctx context.Context, addr string, r message.FeedRequest) (message.FeedAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+answerMargin)
+	defer cancel()
+	peer := c.links.Get(addr)
+	if peer == nil {
+		return message.FeedAnswer{}, errs.New(errs.StepStore, addr, errs.ReasonConnectionLost, true, "no connection to the VM")
+	}
+	var answer message.FeedAnswer
+	env, err := peer.Call(ctx, wire.KindFeedRequest, "", topology.Snapshot{}, r)
+	if err != nil {
+		return answer, err
+	}
+	return answer, wire.DecodeBody(env, &answer)
+}
--- /dev/null
+++ b/internal/peerfeed/hub.go
@@ -0,0 +1,126 @@
+package peerfeed
+
+import (
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+const (
+	// maxReaders bounds the calls of other VMs that are answered at a time: four
+	// kinds for each VM of a fleet of a few hundred.
+	maxReaders = 1024
+	// maxWait bounds the wait of a watch, whatever the reader asks for.
+	maxWait = 5 * time.Second
+)
+
+// Kind numbers a kind of object between VMs.
+type Kind uint8
+
+// Hub holds this VM's copies of the store's objects. It is safe for concurrent
+// use.
+type Hub struct {
+	now     func() time.Duration
+	readers chan struct{}
+
+	mu     sync.Mutex
+	caches map[Kind]*objectfeed.Cache
+	// contact is when the store last answered this VM or the one it reads from.
+	contact time.Duration
+	// changed is closed at the next change of anything.
+	changed chan struct{}
+}
+
+// NewHub returns a hub without copies. now is monotonic time.
+func NewHub(now func() time.Duration) *Hub {
+	return &Hub{
+		now: now, readers: make(chan struct{}, maxReaders),
+		caches: make(map[Kind]*objectfeed.Cache), changed: make(chan struct{}),
+	}
+}
+
+// Apply takes in what this VM has read.
+func (h *Hub) Apply(kind Kind, changes objectfeed.Changes) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	h.cache(kind).Apply(changes)
+	h.contact = max(h.contact, now-changes.Age)
+	if changes.All || len(changes.Objects) > 0 {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+}
+
+// cache returns the copy of a kind. The caller holds mu.
+func (h *Hub) cache(kind Kind) *objectfeed.Cache {
+	c := h.caches[kind]
+	if c == nil {
+		c = &objectfeed.Cache{}
+		h.caches[kind] = c
+	}
+	return c
+}
+
+// Handle answers a message of another VM. It does not block.
+func (h *Hub) Handle(p *wire.Peer, env *wire.Envelope) {
+	var request message.FeedRequest
+	if err := wire.DecodeBody(env, &request); err != nil {
+		klog.ErrorS(err, "Cannot decode a message of another VM", "vm", p.Remote.VM, "kind", env.Kind)
+		return
+	}
+	select {
+	case h.readers <- struct{}{}:
+	default:
+		h.reply(p, env, message.FeedAnswer{})
+		return
+	}
+	go func() {
+		defer func() { <-h.readers }()
+		h.reply(p, env, h.answer(p.Done(), request))
+	}()
+}
+
+func (h *Hub) reply(p *wire.Peer, env *wire.Envelope, answer message.FeedAnswer) {
+	if err := p.ReplyOrClose(env, wire.KindFeedAnswer, answer); err != nil {
+		klog.ErrorS(err, "Cannot answer another VM", "vm", p.Remote.VM)
+	}
+}
+
+// answer waits until there is something to say.
+func (h *Hub) answer(gone <-chan struct{}, r message.FeedRequest) message.FeedAnswer {
+	timeout := time.NewTimer(min(r.Wait, maxWait))
+	defer timeout.Stop()
+	for over := false; ; {
+		answer, changed := h.look(r)
+		if !answer.Ready || answer.Gone || r.List || len(answer.Changes.Objects) > 0 || over {
+			return answer
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			over = true
+		case <-gone:
+			over = true
+		}
+	}
+}
+
+func (h *Hub) look(r message.FeedRequest) (message.FeedAnswer, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now, cache := h.now(), h.cache(Kind(r.Kind))
+	all, ready := cache.List()
+	all.Age = now - h.contact
+	if r.List || !ready {
+		return message.FeedAnswer{Ready: ready, Changes: all}, h.changed
+	}
+	changes, ok := cache.Since(r.From)
+	changes.Age = now - h.contact
+	return message.FeedAnswer{Ready: true, Gone: !ok, Changes: changes}, h.changed
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -24,6 +24,10 @@
 	Store string
 	// FirstStart is true when the whole system starts for the first time.
 	FirstStart bool
+	// Peers is the listener for other VMs; Seeds are the same of the VMs that read
+	// the store for the others, perhaps with this one among them.
+	Peers string
+	Seeds []string
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// ExtraRatio and ExtraSlack bound the further requests to a service, over all
@@ -43,6 +47,8 @@
 	n.Ready = address(t, "ready")
 	n.Admin = address(t, "admin")
 	n.Store = address(t, "store")
+	n.Peers = address(t, "peers")
+	n.Seeds = peers(t, "seeds")
 	n.FirstStart, _ = t.Bool("first_start")
 	n.Grace, _ = t.Duration("grace", 0, maxGrace)
 	n.ExtraRatio, _ = t.Float("extra_ratio", 0, maxRatio)
@@ -51,5 +57,6 @@
 	n.ColdSlack, _ = t.Float("cold_slack", 0, maxSlack)
 	verbosity, _ := t.Int("log_verbosity", 0, maxLogVerbosity)
 	n.LogVerbosity = int(verbosity)
-	differ(t, map[string]string{"callers": n.Callers, "ready": n.Ready, "admin": n.Admin}, "callers", "ready", "admin")
+	differ(t, map[string]string{"callers": n.Callers, "ready": n.Ready, "admin": n.Admin, "peers": n.Peers},
+		"callers", "ready", "admin", "peers")
 }
--- a/internal/wire/hello.go
+++ b/internal/wire/hello.go
@@ -11,6 +11,7 @@
 	RoleRelay Role = "relay"
 	RoleAgent Role = "agent"
 	RoleAdmin Role = "admin"
+	RoleNode  Role = "node"
 )
 
 // Hello is the first message in each direction of a connection.
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -27,4 +27,6 @@
 	KindEvictions    Kind = 20
 	KindConfirm      Kind = 21
 	KindFactsResync  Kind = 22
+	KindFeedRequest  Kind = 23
+	KindFeedAnswer   Kind = 24
 )
