Go to the store when a seed has not heard of it for too long

Seeds now hear of the store each second, a reader that gets something older than 1.5 s goes to the store next. By reading: a process that stands still while its timer fires closes idle connections before it has read what waits in them; it now reads for 50 ms first. Test: TestStoreFollowsASeedThatIsTooOld.

--- a/internal/feedsource/chooser.go
+++ b/internal/feedsource/chooser.go
@@ -16,10 +16,13 @@
 	// firstStartWait is how long a VM waits for the seeds when the whole system
 	// starts: all VMs start within 0.3 s.
 	firstStartWait = 1500 * time.Millisecond
-	// MaxAge is how old the state of a peer may be. It is above the longest time
-	// between two answers of the store to a peer, and below the time in which a
-	// configuration must be in force.
-	MaxAge = 2900 * time.Millisecond
+	// MaxAge is how old the state of a peer may be. It is above the time between two
+	// answers of the store to a seed, SeedInterval. With the wait of a reader at a
+	// peer it stays below the 3 s in which a configuration must be in force: all
+	// seeds may be cut off from the store at once.
+	MaxAge = 1500 * time.Millisecond
+	// SeedInterval is the longest time between two answers of the store to a seed.
+	SeedInterval = time.Second
 )
 
 // Source is from where objects are read.
@@ -46,6 +49,9 @@
 	firstStart bool
 	order      []Source
 	restUntil  map[Source]time.Duration
+	// storeFirst is until when the store comes first, after a peer was too old.
+	storeFirst time.Duration
+	seed       bool
 }
 
 // New returns a chooser for a VM that has just started.
@@ -66,7 +72,8 @@
 	for _, addr := range seeds {
 		c.order = append(c.order, Source{Peer: addr})
 	}
-	if slices.Contains(config.Seeds, config.Self) {
+	c.seed = slices.Contains(config.Seeds, config.Self)
+	if c.seed {
 		c.order = slices.Insert(c.order, 0, Source{})
 	} else {
 		c.order = append(c.order, Source{})
@@ -87,12 +94,15 @@
 // Next returns the best source that did not fail lately, or false when the
 // caller should wait a little.
 func (c *Chooser) Next(now time.Duration) (Source, bool) {
+	if now < c.storeFirst && !c.resting(now, Source{}) {
+		return Source{}, true
+	}
 	waiting := c.firstStart && now < firstStartWait && !c.order[0].IsStore()
 	for _, s := range c.order {
 		if waiting && s.IsStore() {
 			continue
 		}
-		if until, ok := c.restUntil[s]; !ok || now >= until {
+		if !c.resting(now, s) {
 			return s, true
 		}
 	}
@@ -108,5 +118,20 @@
 	c.restUntil[s] = now + rest
 }
 
+// TooOld takes in that a peer has not heard of the store for MaxAge. The other
+// seeds may be cut off like it, so the store is next.
+func (c *Chooser) TooOld(now time.Duration, s Source) {
+	c.Failed(now, s)
+	c.storeFirst = now + peerRest
+}
+
+// Seed reports whether this VM reads the store for others.
+func (c *Chooser) Seed() bool { return c.seed }
+
+func (c *Chooser) resting(now time.Duration, s Source) bool {
+	until, ok := c.restUntil[s]
+	return ok && now < until
+}
+
 // Answered takes in that a source gave something new enough.
 func (c *Chooser) Answered(s Source) { delete(c.restUntil, s) }
--- a/internal/feedsource/chooser_test.go
+++ b/internal/feedsource/chooser_test.go
@@ -44,6 +44,18 @@
 	assert.Assert(t, !next(t, c, peerRest).IsStore())
 }
 
+// Load pattern: all seeds are cut off at once, while the other VMs reach the
+// store (standard day trouble-3: a VM had an old configuration for 4.2 s). Guards
+// against a VM that asks one cut-off seed after the other.
+func TestStoreFollowsASeedThatIsTooOld(t *testing.T) {
+	c := New(Config{Self: "10.0.0.9:1", Seeds: seeds})
+	c.TooOld(0, next(t, c, 0))
+	assert.Assert(t, next(t, c, 0).IsStore())
+	c.Failed(0, Source{})
+	assert.Assert(t, !next(t, c, 0).IsStore())
+	assert.Assert(t, !next(t, c, peerRest).IsStore())
+}
+
 // Load pattern: the store turns some VMs away and serves the others. Guards
 // against a seed that knows nothing although other seeds do, and against one
 // that never returns to the store.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,6 +18,8 @@
 	// unreadyDelay is how long a stopping node still accepts connections. The
 	// balancer asks each second and takes a node out after two misses.
 	unreadyDelay = 2500 * time.Millisecond
+	// stopSettle is the time to read what waits in sockets.
+	stopSettle = 50 * time.Millisecond
 	// stopMargin is kept of the grace time to end before the kill.
 	stopMargin = 300 * time.Millisecond
 	// headerTimeout bounds the reading of a request's headers.
@@ -78,6 +80,9 @@
 	klog.InfoS("Stopping", "grace", grace)
 	n.leave(ctx)
 	rest(ctx, min(unreadyDelay, grace/2)-time.Since(began))
+	// A process that stood still has requests in its sockets that were sent in
+	// time; they are read before idle connections are closed.
+	rest(ctx, stopSettle)
 	ctx, cancel := context.WithTimeout(ctx, grace-stopMargin-time.Since(began))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
