Hedge stragglers only, and prefer leaves with an idle connection

A hedge now waits until three quarters of the shards have replied, at the latest for half of the latency target. A leaf to which a new connection is needed costs a round trip and the handshake more. A log line of a failure was written three times, once per severity. Members refresh each 2 min.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -97,6 +97,7 @@
 	klog.InitFlags(&flags)
 	for name, value := range map[string]string{
 		"v": strconv.Itoa(level), "logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL",
+		"one_output": "true",
 	} {
 		// The flags are klog's own and the values valid.
 		_ = flags.Set(name, value)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -30,7 +30,7 @@
 const CheckInterval = 2500 * time.Millisecond
 
 // MemberRefresh is the time between two refreshes of a member entry.
-const MemberRefresh = 30 * time.Second
+const MemberRefresh = 2 * time.Minute
 
 // Directory is what one VM knows. It is not safe for concurrent use.
 type Directory struct {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,17 +91,20 @@
 	if reply != nil {
 		out.info = n.codec.Leaf(reply.Status, reply.Header)
 	}
-	n.ended(ctx, a, c.route.Name, &out)
+	n.ended(ctx, a, c.route.Name, &out, pool.IdleUntil())
 	r.results <- out
 }
 
 // ended tells the decisions how an attempt ended.
-func (n *Node) ended(ctx context.Context, a *attempt, route string, out *result) {
+func (n *Node) ended(ctx context.Context, a *attempt, route string, out *result, idleUntil time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
 	outcome := outcomeOf(ctx, out)
 	n.table.End(now, a.leaf, route, a.began, outcome)
+	if !idleUntil.IsZero() {
+		n.table.Connected(a.leaf, idleUntil.Sub(n.started))
+	}
 	if outcome == placement.Replied {
 		n.delays.Observe(delayKey(route), now-a.began)
 		n.metrics.leafLatency.Update((now - a.began).Milliseconds())
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -33,7 +33,7 @@
 // seconds, and shares of members may be seconds old.
 var pauses = map[directory.Kind]time.Duration{
 	directory.KindLeaves:  250 * time.Millisecond,
-	directory.KindMembers: time.Second,
+	directory.KindMembers: 2 * time.Second,
 }
 
 var (
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -21,6 +21,11 @@
 	// are of no use.
 	hedgeMin = 1.0 / 8
 	hedgeMax = 1.0 / 3
+	// hedgeQuorum of the shards must have replied before the others count as
+	// straggling; hedgeLatest, a part of the latency target, leaves the time of one
+	// more request.
+	hedgeQuorum = 0.75
+	hedgeLatest = 1.0 / 2
 	// manyCrashes lets a query go on after lost connections, which have many
 	// causes besides a crash.
 	manyCrashes = 1 << 20
@@ -73,6 +78,8 @@
 	}
 	if route.Gathers() {
 		p.LatencyTarget = max(route.LatencyTarget-answerMargin, route.LatencyTarget/2)
+		p.HedgeQuorum = hedgeQuorum
+		p.HedgeLatest = time.Duration(hedgeLatest * float64(route.LatencyTarget))
 		p.MinCovered = leastParts(route.MinCoverage, shards)
 	}
 	return p
--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// IdleUntil returns until when the pool keeps an idle connection; it is zero when
+// there is none.
+func (p *Pool) IdleUntil() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return time.Time{}
+	}
+	return p.idle[len(p.idle)-1].idleUntil
+}
+
 // get returns an idle connection that is still sound, or a new one.
 func (p *Pool) get(ctx context.Context) (*conn, error) {
 	for {
--- a/internal/placement/constants.go
+++ b/internal/placement/constants.go
@@ -28,6 +28,9 @@
 	// suspectCost is added to the expected time of a suspect leaf, about the
 	// length of a pause.
 	suspectCost = 100 * time.Millisecond
+	// connectCost is the added time of a new connection: a round trip between zones
+	// and the leaf's handshake.
+	connectCost = 12 * time.Millisecond
 	// failureCost is the added time of a leaf that fails all requests.
 	failureCost = 400 * time.Millisecond
 	// failingAbove is the recent failure share from which a leaf is not sound.
--- a/internal/placement/leaf.go
+++ b/internal/placement/leaf.go
@@ -36,6 +36,8 @@
 	// is until when the leaf is not sound because of them.
 	unanswered  int
 	silentUntil time.Duration
+	// connectedUntil is until when an idle connection to the leaf is kept.
+	connectedUntil time.Duration
 	// replaced is set when another leaf answered at the address.
 	replaced bool
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -211,6 +211,9 @@
 	if t.suspect(now, l, route) {
 		cost += float64(suspectCost)
 	}
+	if now >= l.connectedUntil || len(l.started) > 0 {
+		cost += float64(connectCost)
+	}
 	return time.Duration(cost)
 }
 
@@ -294,6 +297,13 @@
 	}
 }
 
+// Connected takes in until when an idle connection to a leaf is kept.
+func (t *Table) Connected(id fleet.LeafID, until time.Duration) {
+	if l := t.leaves[id]; l != nil {
+		l.connectedUntil = until
+	}
+}
+
 // Connections is how many requests this VM may run at a leaf at a time.
 func (t *Table) Connections(id fleet.LeafID) int {
 	if l := t.leaves[id]; l != nil {
--- a/internal/query/machine.go
+++ b/internal/query/machine.go
@@ -16,6 +16,8 @@
 	counters Counters
 	phase    phase
 
+	// hedgeLatest is when hedges are due whatever the other shards do.
+	hedgeLatest time.Duration
 	// target is when a partial answer is given, deadline when any is.
 	target, deadline time.Duration
 	// wake is the next time that matters, armed what the shell was told.
@@ -24,6 +26,8 @@
 	// missed is the weight of the shards that are given up.
 	covered, missed, total uint64
 	merged, undecided      int
+	// quorumMet is true once hedges are not held back any more.
+	quorumMet bool
 	// replans counts the requests for a newer snapshot.
 	replans    int
 	replanning bool
@@ -56,6 +60,10 @@
 	}
 	m.target = now + m.params.target()
 	m.deadline = now + m.params.Deadline
+	m.hedgeLatest = m.target
+	if m.params.HedgeLatest > 0 {
+		m.hedgeLatest = now + m.params.HedgeLatest
+	}
 	m.launch(now)
 	m.settle(now)
 	return m.out
--- a/internal/query/machine_launch.go
+++ b/internal/query/machine_launch.go
@@ -15,7 +15,7 @@
 		m.out = make([]Action, 0, len(plan.Shards)+2)
 	}
 	m.covered, m.missed, m.total, m.merged = 0, 0, 0, 0
-	m.undecided = len(plan.Shards)
+	m.undecided, m.quorumMet = len(plan.Shards), false
 	for i := range plan.Shards {
 		m.total += plan.Shards[i].Weight
 	}
--- a/internal/query/machine_reply.go
+++ b/internal/query/machine_reply.go
@@ -65,6 +65,21 @@
 	if m.phase == phaseCanary {
 		m.fanOut(now)
 	}
+	m.wakeForHedges(now)
+}
+
+// wakeForHedges asks for a timer when this reply completes the quorum, after
+// which hedges that were held back are due.
+func (m *Machine) wakeForHedges(now time.Duration) {
+	if m.params.HedgeQuorum <= 0 || !m.mayHedge(now) || m.quorumMet {
+		return
+	}
+	m.quorumMet = true
+	for i := range m.shards {
+		if s := &m.shards[i]; s.status == shardRunning {
+			m.wake = min(m.wake, max(s.hedgeAt, now))
+		}
+	}
 }
 
 // open returns an open attempt; others are counted and dropped.
--- a/internal/query/machine_timer.go
+++ b/internal/query/machine_timer.go
@@ -14,13 +14,26 @@
 		if s.status != shardRunning {
 			continue
 		}
-		if s.hedgeAt <= now {
+		if s.hedgeAt <= now && m.mayHedge(now) {
 			m.hedge(now, i, budget)
 		}
-		m.wake = min(m.wake, s.hedgeAt)
+		m.wake = min(m.wake, max(s.hedgeAt, m.hedgesFrom(now)))
 	}
 }
 
+// mayHedge reports whether shards without a reply count as straggling.
+func (m *Machine) mayHedge(now time.Duration) bool {
+	return float64(m.merged) >= m.params.HedgeQuorum*float64(len(m.shards)) || now >= m.hedgeLatest
+}
+
+// hedgesFrom is the earliest time at which a hedge may be due.
+func (m *Machine) hedgesFrom(now time.Duration) time.Duration {
+	if m.mayHedge(now) {
+		return now
+	}
+	return m.hedgeLatest
+}
+
 // hedge asks once per attempt: a refused hedge is not tried again, because the
 // budget refuses when upstreams already have too much to do.
 func (m *Machine) hedge(now time.Duration, shard int, budget Budget) {
--- a/internal/query/params.go
+++ b/internal/query/params.go
@@ -27,6 +27,14 @@
 	AtMostOnce bool
 	// NoRepeats sends no second request to a leaf that has one already.
 	NoRepeats bool
+	// HedgeQuorum is the share of the shards that must have replied before a shard
+	// counts as straggling and gets a hedge. It answers load under which most
+	// replies take longer than the hedge delay, as with new connections, when
+	// hedges for all shards would use up the budget of the real stragglers.
+	HedgeQuorum float64
+	// HedgeLatest is when hedges are due whatever the other shards do; zero means
+	// the target.
+	HedgeLatest time.Duration
 	// MaxCrashes is the number of crash-like losses after which nothing more is
 	// sent; less than 1 means 1.
 	MaxCrashes int
