--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -34,16 +34,17 @@
   extra_window = "10s"           # length of the windows
   cold_factor = 1.5              # bound of a cold leaf, times its stated rate
   cold_slack = 5                 # and besides
-  log_verbosity = 0
+  log_verbosity = 0`
 
-SIGHUP reads the bounds and the grace time anew; addresses need a restart.
+const notes = `
 
+SIGHUP reads the bounds, the seeds and the grace time anew; addresses need a restart.
 Without --settings the file is the one that MEDLARSWITCH_CONFIG names.`
 
 func main() {
 	d := command.Daemon{
 		Name: "medlar-node", Usage: "answer callers on the users' platform",
-		Description: description, Load: load,
+		Description: description + notes, Load: load,
 	}
 	os.Exit(d.Main())
 }
@@ -58,7 +59,7 @@
 
 func run(ctx context.Context, path string, cfg settings.Node) error {
 	node := gateway.New(config(cfg), platform.NewStore(cfg.Store), platform.Codec{})
-	lifecycle.OnReload(ctx, func() { reload(node, path) })
+	lifecycle.OnReload(ctx, path, func() { reload(node, path) })
 	return node.Run(ctx)
 }
 
--- a/internal/command/examples_test.go
+++ b/internal/command/examples_test.go
@@ -15,7 +15,7 @@
 // An example of settings that the program refuses stops every newcomer. The
 // page and the help texts must follow the settings.
 func TestExamplesOfSettings(t *testing.T) {
-	page := read(t, "../../docs/operating.md")
+	page := read(t, "../../docs/OPERATIONS.md")
 	rows := []struct {
 		program string
 		load    func(path string) error
@@ -23,6 +23,7 @@
 		{"agent", load[settings.Agent]},
 		{"relay", load[settings.Relay]},
 		{"entry", load[settings.Entry]},
+		{"node", load[settings.Node]},
 	}
 	for _, row := range rows {
 		t.Run(row.program, func(t *testing.T) {
@@ -37,7 +38,7 @@
 
 // An example of the service document that is refused stops the first edit.
 func TestExampleOfServiceDocument(t *testing.T) {
-	page := read(t, "../../docs/operating.md")
+	page := read(t, "../../docs/OPERATIONS.md")
 	var sections []servicedoc.Section
 	for _, name := range []string{"zones", "owners", "index.roster", "classes"} {
 		text := between(t, page, "```toml\n# section "+name+"\n", "```")
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
 	"github.com/medlarswitch/medlarswitch/internal/merge"
 	"github.com/medlarswitch/medlarswitch/internal/query"
 )
@@ -144,7 +145,7 @@
 	values := []any{
 		"request", r.call.info.RequestID, "route", r.call.route.Name, "version", r.call.conf.Version,
 		"status", status, "took", took, "timeLeft", r.call.info.TimeLeft,
-		"covered", answer.Covered, "of", answer.Total, "missing", missing(answer),
+		"covered", answer.Covered, "of", answer.Total, "missing", r.missing(answer),
 		"sends", len(r.attempts), "hedges", c.Hedges, "retries", c.Retries, "moves", c.Moves, "denied", c.Denied,
 	}
 	if status >= http.StatusInternalServerError || len(answer.Missing) > 0 {
@@ -154,8 +155,16 @@
 	}
 }
 
-// missing lists shards and reasons, up to maxMissingLogged of them.
-func missing(answer query.Answer) string {
+// missing lists shards with the leaf that was asked last and the reason, up to
+// maxMissingLogged of them.
+func (r *run) missing(answer query.Answer) string {
+	if len(answer.Missing) == 0 {
+		return ""
+	}
+	asked := make(map[fleet.ServiceName]fleet.LeafID, len(r.attempts))
+	for _, a := range r.attempts {
+		asked[a.service] = a.leaf
+	}
 	var out strings.Builder
 	for i, m := range answer.Missing {
 		if i == maxMissingLogged {
@@ -165,7 +174,7 @@
 		if i > 0 {
 			out.WriteByte(' ')
 		}
-		out.WriteString(string(m.Shard) + ":" + string(m.Reason))
+		fmt.Fprintf(&out, "%s@%s:%s", m.Shard, asked[fleet.ServiceName(m.Shard)], m.Reason)
 	}
 	return out.String()
 }
--- a/internal/lifecycle/signal.go
+++ b/internal/lifecycle/signal.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"os/signal"
 	"syscall"
 )
@@ -11,21 +10,3 @@
 func StopContext(parent context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(parent, syscall.SIGTERM, syscall.SIGINT)
 }
-
-// OnReload calls a function for each SIGHUP until the context is done. Without
-// it the signal ends the process.
-func OnReload(ctx context.Context, reload func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(signals)
-		for {
-			select {
-			case <-signals:
-				reload()
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-}
