--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/medlarswitch/medlarswitch/internal/answertime"
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
 	"github.com/medlarswitch/medlarswitch/internal/feedsource"
@@ -55,6 +56,7 @@
 	table     *placement.Table
 	ledger    *extraload.Ledger
 	splitter  *fleet.Splitter
+	answers   *answertime.Table
 	delays    *latency.Table
 	pools     map[fleet.LeafID]*pooled
 	sources   *feedsource.Chooser
@@ -75,7 +77,7 @@
 		config: config, store: store, codec: codec, started: time.Now(),
 		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry()),
 		directory: directory.New(), table: placement.New(config.Placement),
-		ledger: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(),
+		ledger: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(), answers: answertime.New(),
 		sources: feedsource.New(config.Source), delays: latency.NewTable(), pools: make(map[fleet.LeafID]*pooled),
 	}
 	n.work, n.cancel = context.WithCancel(context.Background())
@@ -148,6 +150,7 @@
 		n.table.SetConfiguration(c)
 		n.ledger.Retain(c)
 		n.splitter.Retain(c)
+		n.answers.Retain(c)
 		n.limitPools()
 		n.inForce.Store(c)
 	case directory.KindLeaves:
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// answerMargin is kept of the latency target for the way to the caller and
-	// back and for merging.
-	answerMargin = 20 * time.Millisecond
 	// hedgeMin and hedgeMax bound the wait before a second request as parts of the
 	// latency target: earlier ones cost the budget of real stragglers, later ones
 	// are of no use.
@@ -77,14 +74,21 @@
 		MinCovered: 1, AtMostOnce: !route.Idempotent,
 	}
 	if route.Gathers() {
-		p.LatencyTarget = max(route.LatencyTarget-answerMargin, route.LatencyTarget/2)
+		p.LatencyTarget = r.node.answerAfter(r.call)
 		p.HedgeQuorum = hedgeQuorum
-		p.HedgeLatest = time.Duration(hedgeLatest * float64(route.LatencyTarget))
+		p.HedgeLatest = time.Duration(hedgeLatest * float64(p.LatencyTarget))
 		p.MinCovered = leastParts(route.MinCoverage, shards)
 	}
 	return p
 }
 
+// answerAfter is when a query answers with what has arrived.
+func (n *Node) answerAfter(c *call) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.answers.Target(c.route, c.info.TimeLeft)
+}
+
 // leastParts is the number of shards that an answer must cover.
 func leastParts(share float64, shards int) uint64 {
 	n := uint64(0)
