Tell other VMs of slow leaves

VMs now exchange what they found with a seed each half second, seeds with each other. Findings carry their age and end after 3 s; own newer replies count more. Tests: leafspeed (findings end, readers get what is new, bounded), placement TestSlowLeafIsToldToOthers; it found that an own reply was averaged into what others had found.

--- a/internal/feedsource/chooser.go
+++ b/internal/feedsource/chooser.go
@@ -91,6 +91,20 @@
 	return out
 }
 
+// Exchanges returns the addresses with which findings are exchanged: a seed's
+// other seeds, or a VM's first seed that did not fail lately.
+func (c *Chooser) Exchanges(now time.Duration) []string {
+	if c.seed {
+		return c.Peers()
+	}
+	for _, s := range c.order {
+		if !s.IsStore() && !c.resting(now, s) {
+			return []string{s.Peer}
+		}
+	}
+	return nil
+}
+
 // Next returns the best source that did not fail lately, or false when the
 // caller should wait a little.
 func (c *Chooser) Next(now time.Duration) (Source, bool) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,7 @@
 		go f.run(work)
 	}
 	go n.stayMember(work)
+	go n.exchangeSpeeds(work)
 	go n.housekeep(work, connections)
 	select {
 	case err := <-failed:
--- a/internal/peerfeed/client.go
+++ b/internal/peerfeed/client.go
@@ -16,6 +16,22 @@
 // NewClient returns a client that uses the connections of links.
 func NewClient(links *wire.Links) *Client { return &Client{links: links} }
 
+// Exchange sends findings to the VM at an address and returns those that it has.
+func (c *Client) Exchange(ctx context.Context, addr string, in message.LeafSpeeds) (message.LeafSpeeds, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerMargin)
+	defer cancel()
+	var out message.LeafSpeeds
+	peer := c.links.Get(addr)
+	if peer == nil {
+		return out, errs.New(errs.StepStore, addr, errs.ReasonConnectionLost, true, "no connection to the VM")
+	}
+	env, err := peer.Call(ctx, wire.KindLeafSpeeds, "", topology.Snapshot{}, in)
+	if err != nil {
+		return out, err
+	}
+	return out, wire.DecodeBody(env, &out)
+}
+
 // answerMargin is how much longer than its wait a call may take.
 const answerMargin = 500 * time.Millisecond
 
--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/medlarswitch/medlarswitch/internal/leafspeed"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
 	"github.com/medlarswitch/medlarswitch/internal/wire"
@@ -32,6 +33,7 @@
 	caches map[Kind]*objectfeed.Cache
 	// contact is when the store last answered this VM or the one it reads from.
 	contact time.Duration
+	speeds  *leafspeed.Board
 	// changed is closed at the next change of anything.
 	changed chan struct{}
 }
@@ -40,7 +42,7 @@
 func NewHub(now func() time.Duration) *Hub {
 	return &Hub{
 		now: now, readers: make(chan struct{}, maxReaders),
-		caches: make(map[Kind]*objectfeed.Cache), changed: make(chan struct{}),
+		caches: make(map[Kind]*objectfeed.Cache), speeds: leafspeed.NewBoard(), changed: make(chan struct{}),
 	}
 }
 
@@ -69,6 +71,10 @@
 
 // Handle answers a message of another VM. It does not block.
 func (h *Hub) Handle(p *wire.Peer, env *wire.Envelope) {
+	if env.Kind == wire.KindLeafSpeeds {
+		h.exchange(p, env)
+		return
+	}
 	var request message.FeedRequest
 	if err := wire.DecodeBody(env, &request); err != nil {
 		klog.ErrorS(err, "Cannot decode a message of another VM", "vm", p.Remote.VM, "kind", env.Kind)
@@ -86,6 +92,38 @@
 	}()
 }
 
+// exchange takes in another VM's findings and answers with those that it lacks.
+func (h *Hub) exchange(p *wire.Peer, env *wire.Envelope) {
+	var in message.LeafSpeeds
+	if err := wire.DecodeBody(env, &in); err != nil {
+		klog.ErrorS(err, "Cannot decode the findings of another VM", "vm", p.Remote.VM)
+		return
+	}
+	out := message.LeafSpeeds{Since: h.now()}
+	out.Findings = h.Found(in.Findings, in.Since)
+	if err := p.ReplyOrClose(env, wire.KindLeafSpeeds, out); err != nil {
+		klog.ErrorS(err, "Cannot answer another VM", "vm", p.Remote.VM)
+	}
+}
+
+// Found takes in findings and returns those learned since a time, which is this
+// VM's own, before it.
+func (h *Hub) Found(in []leafspeed.Finding, since time.Duration) []leafspeed.Finding {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	out := h.speeds.Since(now, since)
+	h.speeds.Report(now, in)
+	return out
+}
+
+// Heard takes in the findings of another VM, for those that ask this one.
+func (h *Hub) Heard(in []leafspeed.Finding) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.speeds.Report(h.now(), in)
+}
+
 func (h *Hub) reply(p *wire.Peer, env *wire.Envelope, answer message.FeedAnswer) {
 	if err := p.ReplyOrClose(env, wire.KindFeedAnswer, answer); err != nil {
 		klog.ErrorS(err, "Cannot answer another VM", "vm", p.Remote.VM)
--- a/internal/placement/constants.go
+++ b/internal/placement/constants.go
@@ -14,6 +14,9 @@
 	// maxSlowness bounds one observation, so that one straggler does not exclude
 	// its leaf for long.
 	maxSlowness = 8
+	// slowFrom is the slowness from which other VMs are told of a leaf. One pause
+	// does not reach it.
+	slowFrom = 2
 	// outlier is the multiple of the average above which a reply counts as it.
 	outlier = 3
 	// unknownTime is the expected time of a request before the first reply.
--- a/internal/placement/leaf.go
+++ b/internal/placement/leaf.go
@@ -21,6 +21,9 @@
 	// slowness is the leaf's time per request against the expected one.
 	slowness   float64
 	slownessAt time.Duration
+	// heard is the slowness that other VMs found, heardAt when.
+	heard   float64
+	heardAt time.Duration
 	// failures is the recent share of failed requests.
 	failures   float64
 	failuresAt time.Duration
@@ -80,17 +83,27 @@
 
 // observe takes in the time of a request against the expected one.
 func (l *leaf) observe(now time.Duration, ratio float64) {
-	current := l.slownessNow(now)
+	current := l.ownSlowness(now)
 	l.slowness = current + smoothing*(min(ratio, maxSlowness)-current)
 	l.slownessAt = now
 }
 
-// slownessNow fades to 1, so that a leaf that got no requests because it was
-// slow is tried again.
-func (l *leaf) slownessNow(now time.Duration) float64 {
+// ownSlowness is what this VM itself found. It fades to 1, so that a leaf that got
+// no requests because it was slow is tried again.
+func (l *leaf) ownSlowness(now time.Duration) float64 {
 	return 1 + (l.slowness-1)*fade(now-l.slownessAt)
 }
 
+// slownessNow is what is known of the leaf. Own replies that are newer count more
+// than what other VMs found.
+func (l *leaf) slownessNow(now time.Duration) float64 {
+	own := l.ownSlowness(now)
+	if l.heard <= 1 || l.slownessAt > l.heardAt {
+		return own
+	}
+	return max(own, 1+(l.heard-1)*fade(now-l.heardAt))
+}
+
 func (l *leaf) fail(now time.Duration, failed float64) {
 	current := l.failuresNow(now)
 	l.failures = current + smoothing*(failed-current)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/leafspeed"
 )
 
 // Config is what a table needs to know of its VM.
@@ -304,6 +305,31 @@
 	}
 }
 
+// Slow returns the leaves that this VM itself found to be slow lately.
+func (t *Table) Slow(now time.Duration) []leafspeed.Finding {
+	var out []leafspeed.Finding
+	for id, l := range t.leaves {
+		own := l.ownSlowness(now)
+		if l.slownessAt > 0 && own >= slowFrom && now-l.slownessAt < memory {
+			out = append(out, leafspeed.Finding{Leaf: id, Slowness: float32(own), Age: now - l.slownessAt})
+		}
+	}
+	return out
+}
+
+// Heard takes in what other VMs found.
+func (t *Table) Heard(now time.Duration, findings []leafspeed.Finding) {
+	for _, f := range findings {
+		l := t.leaves[f.Leaf]
+		if l == nil {
+			continue
+		}
+		if at := now - f.Age; at > l.heardAt {
+			l.heard, l.heardAt = min(float64(f.Slowness), maxSlowness), at
+		}
+	}
+}
+
 // Connections is how many requests this VM may run at a leaf at a time.
 func (t *Table) Connections(id fleet.LeafID) int {
 	if l := t.leaves[id]; l != nil {
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -105,6 +105,32 @@
 	always(t, table, at, first("a"))
 }
 
+// Load pattern: leaves turn slow in a fleet whose VMs send each leaf a request
+// only each few seconds. Guards against each VM having to find out by itself, and
+// against a VM that believes others more than its own newer replies.
+func TestSlowLeafIsToldToOthers(t *testing.T) {
+	one, other := twoLeaves(t), twoLeaves(t)
+	for i := range 2 {
+		at := warm + time.Duration(i)*100*ms
+		one.Begin(at, "a")
+		one.End(at+90*ms, "a", route, at, Replied)
+	}
+	now := warm + 300*ms
+	findings := one.Slow(now)
+	assert.Equal(t, len(findings), 1)
+	other.Heard(now, findings)
+	always(t, other, now, first("b"))
+	assert.Equal(t, len(other.Slow(now)), 0)
+	for i := range 3 {
+		at := now + time.Duration(i)*20*ms
+		other.Begin(at, "a")
+		other.End(at+10*ms, "a", route, at, Replied)
+	}
+	other.Begin(now+70*ms, "b")
+	other.Begin(now+70*ms, "b")
+	always(t, other, now+80*ms, first("a"))
+}
+
 // Load pattern: a leaf fails part of its requests while it looks healthy.
 func TestFailingLeafIsPassedOver(t *testing.T) {
 	table := twoLeaves(t)
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -29,4 +29,5 @@
 	KindFactsResync  Kind = 22
 	KindFeedRequest  Kind = 23
 	KindFeedAnswer   Kind = 24
+	KindLeafSpeeds   Kind = 25
 )
