--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	out     io.Writer
 	started time.Time
 	ring    chan []byte
+	// pending counts lines that are accepted and not yet written.
+	pending atomic.Int64
 
 	mu      sync.Mutex
 	limiter limiter
@@ -44,6 +47,7 @@
 	}
 	select {
 	case s.ring <- append([]byte(nil), line...):
+		s.pending.Add(1)
 	default:
 		s.limiter.omit(failure)
 	}
@@ -52,7 +56,7 @@
 
 // Flush waits a little until the lines so far are written.
 func (s *Sink) Flush() {
-	for end := time.Now().Add(flushTimeout); len(s.ring) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(flushTimeout); s.pending.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -65,6 +69,7 @@
 		select {
 		case line := <-s.ring:
 			_, _ = s.out.Write(line)
+			s.pending.Add(-1)
 		case <-report.C:
 			s.report()
 		}
--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -67,6 +67,26 @@
 	return l.b.String()
 }
 
+// slowBuffer is a reader of the log that takes its time.
+type slowBuffer struct{ lockedBuffer }
+
+func (s *slowBuffer) Write(p []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return s.lockedBuffer.Write(p)
+}
+
+// Guards against the last line of a process that is lost because it is just being
+// written when the process ends.
+func TestFlushWaitsForTheLineThatIsBeingWritten(t *testing.T) {
+	var out slowBuffer
+	s := New(&out)
+	_, err := s.Write([]byte("I Stopped\n"))
+	assert.NilError(t, err)
+	time.Sleep(5 * time.Millisecond)
+	s.Flush()
+	assert.Equal(t, out.String(), "I Stopped\n")
+}
+
 // Guards against lines that are lost or reordered, and against a process that
 // does not say how many it left out.
 func TestLinesArriveInOrder(t *testing.T) {
