--- a/internal/answertime/table.go
+++ b/internal/answertime/table.go
@@ -41,12 +41,8 @@
 
 // Retain drops the routes that the configuration does not have.
 func (t *Table) Retain(c *fleet.Configuration) {
-	keep := make(map[string]bool, len(c.Routes))
-	for _, r := range c.Routes {
-		keep[r.Name] = true
-	}
 	for name := range t.limits {
-		if !keep[name] {
+		if !c.HasRoute(name) {
 			delete(t.limits, name)
 		}
 	}
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -15,6 +15,7 @@
 	Limits   Limits
 
 	byHost map[string][]*Route
+	names  map[string]bool
 }
 
 // Limits bound what a caller may send and how long it may take.
@@ -26,12 +27,15 @@
 	IdleTimeout time.Duration
 }
 
-// Index prepares the lookup of routes. It must be called once, before Find.
+// Index prepares the lookup of routes. It must be called once, before Find and
+// HasRoute.
 func (c *Configuration) Index() {
+	c.names = make(map[string]bool, len(c.Routes))
 	c.byHost = make(map[string][]*Route)
 	for _, r := range c.Routes {
 		host := canonicalHost(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
+		c.names[r.Name] = true
 	}
 }
 
@@ -47,6 +51,9 @@
 	return best
 }
 
+// HasRoute reports whether there is a route of a name.
+func (c *Configuration) HasRoute(name string) bool { return c.names[name] }
+
 // canonicalHost drops the port and the case of a host.
 func canonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/fleet/splitter.go
+++ b/internal/fleet/splitter.go
@@ -47,12 +47,8 @@
 
 // Retain drops the history of routes that the configuration does not have.
 func (s *Splitter) Retain(c *Configuration) {
-	keep := make(map[string]bool, len(c.Routes))
-	for _, r := range c.Routes {
-		keep[r.Name] = true
-	}
 	for name := range s.routes {
-		if !keep[name] {
+		if !c.HasRoute(name) {
 			delete(s.routes, name)
 		}
 	}
--- a/internal/placement/expected.go
+++ b/internal/placement/expected.go
@@ -44,12 +44,8 @@
 }
 
 func (e expectedTimes) retain(c *fleet.Configuration) {
-	keep := make(map[string]bool, len(c.Routes))
-	for _, r := range c.Routes {
-		keep[r.Name] = true
-	}
 	for key := range e {
-		if !keep[key.route] {
+		if !c.HasRoute(key.route) {
 			delete(e, key)
 		}
 	}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -158,10 +158,6 @@
 	return out
 }
 
-// Known returns how many leaves of a service are in use, whether or not they
-// can take a request now.
-func (t *Table) Known(service fleet.ServiceName) int { return len(t.services[service]) }
-
 // Usable reports whether a leaf may get a request now.
 func (t *Table) Usable(now time.Duration, id fleet.LeafID) bool {
 	l := t.leaves[id]
