Judge the age of a copy kind by kind

Cause: a seed that the store refused (503) for the leaves still got answers for the configuration, and the time of the last contact was one for all kinds. Its copy of the leaves looked 0.6 s old when it was 2.4 s old or more, so VMs that the store served went on reading from it.

Ruled out: an unreadable entry (none logged), a deaf watch (the seed that the store served had the change at 6.26).

Change: objectfeed.Freshness decides the age of each kind. A watch that waits at the store is confirmed by any answer of the store; a kind whose call failed ages from its own last answer. The hub also ignores the note that a call was withdrawn, which it logged as a message that it could not decode.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -14,8 +14,12 @@
 const maxChangesLogged = 8
 
 // apply brings changes into force and keeps them for other VMs.
-func (n *Node) apply(kind directory.Kind, in objectfeed.Changes) {
-	n.hub.Apply(peerfeed.Kind(kind), in)
+func (n *Node) apply(kind directory.Kind, source feedsource.Source, in objectfeed.Changes) {
+	if source.IsStore() {
+		n.hub.FromStore(peerfeed.Kind(kind), in)
+	} else {
+		n.hub.FromPeer(peerfeed.Kind(kind), in)
+	}
 	changes := decoded{revision: in.Revision, all: in.All}
 	for _, object := range in.Objects {
 		changes.events = append(changes.events, n.store.Decode(kind, object)...)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,6 +11,7 @@
 	"github.com/medlarswitch/medlarswitch/internal/feedsource"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
+	"github.com/medlarswitch/medlarswitch/internal/peerfeed"
 )
 
 const (
@@ -148,7 +149,7 @@
 		klog.InfoS("Regained a source", "kind", f.kind, "revision", changes.Revision, "peer", source.Peer, "age", changes.Age)
 	}
 	f.lost = false
-	f.node.apply(f.kind, changes)
+	f.node.apply(f.kind, source, changes)
 	f.from, f.listed = changes.Revision, true
 	if changes.Age > feedsource.MaxAge {
 		f.tooOld(source, changes.Age)
@@ -175,6 +176,7 @@
 		klog.ErrorS(err, "Lost a source", "kind", f.kind, "revision", f.from, "peer", source.Peer)
 	}
 	f.lost = true
+	f.node.hub.Lost(peerfeed.Kind(f.kind))
 	f.node.sourceFailed(source)
 }
 
--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -31,9 +31,8 @@
 
 	mu     sync.Mutex
 	caches map[Kind]*objectfeed.Cache
-	// contact is when the store last answered this VM or the one it reads from.
-	contact time.Duration
-	speeds  *leafspeed.Board
+	fresh  *objectfeed.Freshness[Kind]
+	speeds *leafspeed.Board
 	// changed is closed at the next change of anything.
 	changed chan struct{}
 }
@@ -42,17 +41,37 @@
 func NewHub(now func() time.Duration) *Hub {
 	return &Hub{
 		now: now, readers: make(chan struct{}, maxReaders),
-		caches: make(map[Kind]*objectfeed.Cache), speeds: leafspeed.NewBoard(), changed: make(chan struct{}),
+		caches: make(map[Kind]*objectfeed.Cache), fresh: objectfeed.NewFreshness[Kind](),
+		speeds: leafspeed.NewBoard(), changed: make(chan struct{}),
 	}
 }
 
-// Apply takes in what this VM has read.
-func (h *Hub) Apply(kind Kind, changes objectfeed.Changes) {
+// FromStore takes in what the store answered this VM.
+func (h *Hub) FromStore(kind Kind, changes objectfeed.Changes) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.now()
+	h.fresh.FromStore(h.now(), kind)
+	h.apply(kind, changes)
+}
+
+// FromPeer takes in what another VM answered this one.
+func (h *Hub) FromPeer(kind Kind, changes objectfeed.Changes) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fresh.FromPeer(h.now(), kind, changes.Age)
+	h.apply(kind, changes)
+}
+
+// Lost takes in that a call for a kind failed.
+func (h *Hub) Lost(kind Kind) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fresh.Lost(kind)
+}
+
+// apply keeps changes and wakes those that wait for them. The caller holds mu.
+func (h *Hub) apply(kind Kind, changes objectfeed.Changes) {
 	h.cache(kind).Apply(changes)
-	h.contact = max(h.contact, now-changes.Age)
 	if changes.All || len(changes.Objects) > 0 {
 		close(h.changed)
 		h.changed = make(chan struct{})
@@ -71,9 +90,13 @@
 
 // Handle answers a message of another VM. It does not block.
 func (h *Hub) Handle(p *wire.Peer, env *wire.Envelope) {
-	if env.Kind == wire.KindLeafSpeeds {
+	switch env.Kind {
+	case wire.KindLeafSpeeds:
 		h.exchange(p, env)
 		return
+	case wire.KindCancel:
+		// A watch ends by its own wait, and its answer has no receiver any more.
+		return
 	}
 	var request message.FeedRequest
 	if err := wire.DecodeBody(env, &request); err != nil {
@@ -152,13 +175,13 @@
 func (h *Hub) look(r message.FeedRequest) (message.FeedAnswer, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now, cache := h.now(), h.cache(Kind(r.Kind))
+	age, cache := h.fresh.Age(h.now(), Kind(r.Kind)), h.cache(Kind(r.Kind))
 	all, ready := cache.List()
-	all.Age = now - h.contact
+	all.Age = age
 	if r.List || !ready {
 		return message.FeedAnswer{Ready: ready, Changes: all}, h.changed
 	}
 	changes, ok := cache.Since(r.From)
-	changes.Age = now - h.contact
+	changes.Age = age
 	return message.FeedAnswer{Ready: true, Gone: !ok, Changes: changes}, h.changed
 }
