Run queries over many shards at the larger VMs of the zone

Cause: a query costs 90 requests to leaves. On 0.192 of a core they take longer than the latency target, and a VM that sees a query each 1.5 s finds its connections to the leaves closed (69,805 new connections for 93,425 requests).

Change: internal/delegation decides at which VM a query runs. A VM hands queries over many shards to the VMs of its zone that have at least twice its processor, which it knows from their member entries. The aggregator runs the query as if its caller had come to it and sends the answer back in a frame. - It declines unless the same version of the configuration is in force at both, so that no VM goes back to an older version from one request to the next. - A caller that leaves ends the run there; a stop waits for such runs. - A query whose outcome at the aggregator is unknown is answered with 502: running it once more here could take one attempt of a caller to more leaves than its route allows, a new attempt of the caller cannot. - A VM whose aggregators are cut off with their zone is not ready either, and asks them each 500 ms. Requests for one leaf, and VMs of equal size, are as before.

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -21,6 +21,8 @@
 
   vm = "edge-osorno-1"
   zone = "osorno"
+  cpu_share = 0.4                # part of a core that the process may use
+  cpu_speed = 1                  # how many times as fast as the usual one that core is
   callers = "10.0.0.1:8104"      # callers' requests
   ready = "10.0.0.1:8108"        # readiness check of the balancer
   admin = "10.0.0.1:7380"        # metrics as text
@@ -75,7 +77,7 @@
 
 func config(cfg settings.Node) gateway.Config {
 	return gateway.Config{
-		VM: cfg.VM, Zone: cfg.Zone, Callers: cfg.Callers, Ready: cfg.Ready, Admin: cfg.Admin, ReadyPath: platform.ReadyPath,
+		VM: cfg.VM, Zone: cfg.Zone, Cores: cfg.CPUShare * cfg.CPUSpeed, Callers: cfg.Callers, Ready: cfg.Ready, Admin: cfg.Admin, ReadyPath: platform.ReadyPath,
 		Peers:     cfg.Peers,
 		Source:    feedsource.Config{Self: cfg.Peers, Seeds: cfg.Seeds, FirstStart: cfg.FirstStart},
 		ExtraLoad: extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack, Window: cfg.ExtraWindow, Filled: cfg.FirstStart},
--- /dev/null
+++ b/internal/delegation/outcome.go
@@ -0,0 +1,16 @@
+package delegation
+
+// Outcome is how a query at an aggregator ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Answered is a reply of the aggregator, whatever it says.
+	Answered Outcome = iota
+	// Declined is that the aggregator did not take the query.
+	Declined
+	// Lost is that the connection to the aggregator ended.
+	Lost
+	// Withdrawn is that the caller left.
+	Withdrawn
+)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
 )
 
@@ -37,10 +38,9 @@
 	configuration *fleet.Configuration
 	leaves        map[fleet.LeafID]fleet.Leaf
 	// lapsed holds until when leaves that went missing in an outage are in use.
-	lapsed     map[fleet.LeafID]time.Duration
-	evacuated  map[fleet.Zone]bool
-	members    map[string]member
-	membersSet bool
+	lapsed    map[fleet.LeafID]time.Duration
+	evacuated map[fleet.Zone]bool
+	members   map[string]member
 
 	// failingSince is when the store stopped answering; away is true since then.
 	failingSince time.Duration
@@ -53,6 +53,7 @@
 }
 
 type member struct {
+	vm      delegation.VM
 	refresh uint64
 	seen    time.Duration
 }
@@ -99,7 +100,6 @@
 	case KindEvacuations:
 		clear(d.evacuated)
 	case KindMembers:
-		d.membersSet = true
 		d.removeMembers(events)
 	}
 	for _, event := range events {
@@ -147,8 +147,8 @@
 	case EvacuationRemoved:
 		delete(d.evacuated, ev.Zone)
 	case MemberSet:
-		if m, ok := d.members[ev.VM]; !ok || m.refresh != ev.Refresh {
-			d.members[ev.VM] = member{refresh: ev.Refresh, seen: now}
+		if m, ok := d.members[ev.VM.Name]; !ok || m.refresh != ev.Refresh {
+			d.members[ev.VM.Name] = member{vm: ev.VM, refresh: ev.Refresh, seen: now}
 		}
 	case MemberRemoved:
 		delete(d.members, ev.VM)
@@ -176,19 +176,16 @@
 // Evacuated returns the zones that get no requests. The map must not be changed.
 func (d *Directory) Evacuated() map[fleet.Zone]bool { return d.evacuated }
 
-// Members returns how many VMs refreshed their entry lately, or false before
-// the first listing.
-func (d *Directory) Members(now time.Duration) (int, bool) {
-	if !d.membersSet {
-		return 0, false
-	}
-	n := 0
+// Members returns the VMs that refreshed their entry lately, none before the
+// first listing.
+func (d *Directory) Members(now time.Duration) []delegation.VM {
+	var out []delegation.VM
 	for _, m := range d.members {
 		if now-m.seen <= memberLifetime {
-			n++
+			out = append(out, m.vm)
 		}
 	}
-	return n, true
+	return out
 }
 
 func (d *Directory) removeUnlisted(now time.Duration, events []Event) {
@@ -216,7 +213,7 @@
 	listed := make(map[string]bool, len(events))
 	for _, event := range events {
 		if ev, ok := event.(MemberSet); ok {
-			listed[ev.VM] = true
+			listed[ev.VM.Name] = true
 		}
 	}
 	for vm := range d.members {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
 )
 
@@ -134,27 +135,29 @@
 	d := New()
 	d.Listed(0, KindLeaves, []Event{leafSet("a")})
 	d.Listed(0, KindEvacuations, []Event{EvacuationSet{"z"}})
-	d.Listed(0, KindMembers, []Event{MemberSet{"vm-1", 1}})
+	d.Listed(0, KindMembers, []Event{memberSet("vm-1", 1)})
 	d.Listed(1, KindLeaves, []Event{leafSet("b")})
 	d.Listed(1, KindEvacuations, nil)
-	d.Listed(1, KindMembers, []Event{MemberSet{"vm-2", 1}})
+	d.Listed(1, KindMembers, []Event{memberSet("vm-2", 1)})
 	_, ok := d.Leaves()["b"]
 	assert.Assert(t, ok && len(d.Leaves()) == 1 && len(d.Evacuated()) == 0)
-	n, _ := d.Members(1)
-	assert.Equal(t, n, 1)
+	assert.Equal(t, len(d.Members(1)), 1)
 }
 
 // Guards against shares that stay small because VMs that are gone still count,
 // and against a VM that takes shares before it knows the others.
 func TestMembersCountWhileTheyRefresh(t *testing.T) {
 	d := New()
-	_, known := d.Members(0)
-	assert.Assert(t, !known)
+	assert.Equal(t, len(d.Members(0)), 0)
 	for turn := range 6 {
 		now := time.Duration(turn) * MemberRefresh
-		d.Listed(now, KindMembers, []Event{MemberSet{"alive", uint64(turn)}, MemberSet{"dead", 1}})
+		d.Listed(now, KindMembers, []Event{memberSet("alive", uint64(turn)), memberSet("dead", 1)})
 	}
-	n, known := d.Members(5 * MemberRefresh)
-	assert.Assert(t, known)
-	assert.Equal(t, n, 1)
+	members := d.Members(5 * MemberRefresh)
+	assert.Equal(t, len(members), 1)
+	assert.Equal(t, members[0].Name, "alive")
+}
+
+func memberSet(vm string, refresh uint64) MemberSet {
+	return MemberSet{VM: delegation.VM{Name: vm}, Refresh: refresh}
 }
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -1,6 +1,9 @@
 package directory
 
-import "github.com/medlarswitch/medlarswitch/internal/fleet"
+import (
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+)
 
 // Kind is a kind of object in the store.
 type Kind uint8
@@ -42,7 +45,7 @@
 
 // MemberSet is the entry of a VM. Refresh changes each time the VM writes it.
 type MemberSet struct {
-	VM      string
+	VM      delegation.VM
 	Refresh uint64
 }
 
--- /dev/null
+++ b/internal/gateway/aggregate.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/leafconn"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+	"github.com/medlarswitch/medlarswitch/internal/wire"
+)
+
+// maxAggregated bounds the queries of other VMs that run here at a time. More
+// would wait for the processor longer than at the VM that asks.
+const maxAggregated = 64
+
+// aggregatedRuns are the queries of other VMs that run here. It is safe for
+// concurrent use.
+type aggregatedRuns struct {
+	mu   sync.Mutex
+	runs map[aggregatedKey]context.CancelFunc
+}
+
+// aggregatedKey names a call of another VM.
+type aggregatedKey struct {
+	peer *wire.Peer
+	id   uint64
+}
+
+// begin adds a run, or returns false when there are too many.
+func (a *aggregatedRuns) begin(key aggregatedKey, cancel context.CancelFunc) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.runs) >= maxAggregated {
+		return false
+	}
+	a.runs[key] = cancel
+	return true
+}
+
+func (a *aggregatedRuns) end(key aggregatedKey) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.runs, key)
+}
+
+// cancel ends a run whose caller left, if it is still there.
+func (a *aggregatedRuns) cancel(key aggregatedKey) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if cancel, ok := a.runs[key]; ok {
+		cancel()
+	}
+}
+
+// handlePeer takes a message of another VM. It does not block.
+func (n *Node) handlePeer(p *wire.Peer, env *wire.Envelope) {
+	switch env.Kind {
+	case wire.KindQuery:
+		n.takeQuery(p, env)
+	case wire.KindCancel:
+		n.aggregated.cancel(aggregatedKey{p, env.ID})
+	default:
+		n.hub.Handle(p, env)
+	}
+}
+
+// takeQuery runs a query of another VM, or declines it.
+func (n *Node) takeQuery(p *wire.Peer, env *wire.Envelope) {
+	var q message.Query
+	if err := wire.DecodeBody(env, &q); err != nil {
+		klog.ErrorS(err, "Cannot decode a query of another VM", "vm", p.Remote.VM)
+		n.answerQuery(p, env, message.QueryAnswer{Declined: true})
+		return
+	}
+	// Work is counted before the stop is looked at, so that the stop waits for it.
+	leave := n.drain.Enter()
+	c, why := n.aggregatedCall(&q)
+	key := aggregatedKey{p, env.ID}
+	ctx, cancel := context.WithCancel(n.work)
+	if c != nil && !n.aggregated.begin(key, cancel) {
+		c, why = nil, "too many queries of other VMs"
+	}
+	if c == nil {
+		klog.V(1).InfoS("Declined a query", "request", q.RequestID, "vm", p.Remote.VM, "why", why)
+		n.answerQuery(p, env, message.QueryAnswer{Declined: true})
+		cancel()
+		leave()
+		return
+	}
+	go func() {
+		defer leave()
+		defer cancel()
+		defer n.aggregated.end(key)
+		n.aggregate(ctx, p, env, c)
+	}()
+}
+
+// aggregatedCall returns a query as a call of this VM, or why it is declined. Both
+// VMs must have one version of the configuration in force: the asking VM would
+// otherwise go back to an older one with its next request.
+func (n *Node) aggregatedCall(q *message.Query) (*call, string) {
+	conf := n.inForce.Load()
+	switch {
+	case q.Path == "":
+		return nil, "a question only"
+	case n.drain.Draining():
+		return nil, "stopping"
+	case n.cutOff.Load():
+		return nil, "cut off"
+	case conf == nil || !n.leavesListed.Load() || conf.Version != q.Version:
+		return nil, "another version of the configuration"
+	}
+	route := conf.Find(q.Host, q.Path)
+	if route == nil || !route.Gathers() {
+		return nil, "no such route"
+	}
+	return &call{
+		info: CallerInfo{RequestID: q.RequestID, TimeLeft: q.TimeLeft}, conf: conf, route: route, began: time.Now(), path: q.Path,
+		request: leafconn.Request{
+			Method: q.Method, Target: q.Target, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
+		},
+	}, ""
+}
+
+// aggregate runs a query of another VM and sends it the answer.
+func (n *Node) aggregate(ctx context.Context, p *wire.Peer, env *wire.Envelope, c *call) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// A VM that is gone has no callers any more.
+		select {
+		case <-p.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	n.metrics.aggregated.Inc(1)
+	w := newAnswerBuffer()
+	if !n.run(ctx, w, c) {
+		return
+	}
+	n.answerQuery(p, env, message.QueryAnswer{Status: w.status, Header: w.header, Body: w.body.Bytes()})
+}
+
+func (n *Node) answerQuery(p *wire.Peer, env *wire.Envelope, answer message.QueryAnswer) {
+	answer.CutOff = n.cutOff.Load()
+	if err := p.ReplyOrClose(env, wire.KindQueryAnswer, answer); err != nil {
+		klog.ErrorS(err, "Cannot answer a query of another VM", "vm", p.Remote.VM)
+	}
+}
--- /dev/null
+++ b/internal/gateway/aggregate_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+)
+
+// A query of another VM must be handled by the configuration that is in force at
+// both, so that the asking VM does not go back to an older one, and by a VM that
+// can answer it.
+func TestQueriesThatAreDeclined(t *testing.T) {
+	for name, row := range map[string]struct {
+		change func(n *Node, q *message.Query)
+		takes  bool
+	}{
+		"same version":        {func(*Node, *message.Query) {}, true},
+		"older version here":  {func(_ *Node, q *message.Query) { q.Version = 8 }, false},
+		"newer version here":  {func(_ *Node, q *message.Query) { q.Version = 6 }, false},
+		"no configuration":    {func(n *Node, _ *message.Query) { n.inForce.Store(nil) }, false},
+		"no leaves":           {func(n *Node, _ *message.Query) { n.leavesListed.Store(false) }, false},
+		"stopping":            {func(n *Node, _ *message.Query) { n.drain.Begin() }, false},
+		"cut off":             {func(n *Node, _ *message.Query) { n.cutOff.Store(true) }, false},
+		"request for a leaf":  {func(_ *Node, q *message.Query) { q.Path = "/one/x" }, false},
+		"no route":            {func(_ *Node, q *message.Query) { q.Path = "/none/x" }, false},
+		"question only":       {func(_ *Node, q *message.Query) { q.Path = "" }, false},
+		"aggregator cut off ": {func(n *Node, _ *message.Query) { n.aggregatorCutOff.Store(true) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := New(Config{VM: "vm-1"}, nil, nil)
+			conf := &fleet.Configuration{Version: 7, Routes: []*fleet.Route{
+				{Name: "query", Host: "h", Prefix: "/query/", Shards: []fleet.ServiceName{"s1"}, Timeout: time.Second},
+				{Name: "one", Host: "h", Prefix: "/one/", Service: "single"},
+			}}
+			conf.Index()
+			n.inForce.Store(conf)
+			n.leavesListed.Store(true)
+			q := message.Query{Version: 7, Host: "h", Path: "/query/x"}
+			row.change(n, &q)
+			c, why := n.aggregatedCall(&q)
+			assert.Equal(t, c != nil, row.takes, why)
+		})
+	}
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
 	"github.com/medlarswitch/medlarswitch/internal/feedsource"
+	"github.com/medlarswitch/medlarswitch/internal/fleet"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
@@ -12,6 +14,8 @@
 type Config struct {
 	VM   string
 	Zone string
+	// Cores is the processor time per second that this VM may use.
+	Cores float64
 	// Callers, Ready and Admin are the addresses to listen on.
 	Callers, Ready, Admin string
 	// ReadyPath is the path of the readiness check.
@@ -24,3 +28,8 @@
 	// Grace is the time from the stop signal to the kill.
 	Grace time.Duration
 }
+
+// self is what other VMs know of this one.
+func (c *Config) self() delegation.VM {
+	return delegation.VM{Name: c.VM, Zone: fleet.Zone(c.Zone), Address: c.Peers, Cores: c.Cores}
+}
--- /dev/null
+++ b/internal/gateway/delegate.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
+	"github.com/medlarswitch/medlarswitch/internal/errs"
+	"github.com/medlarswitch/medlarswitch/internal/message"
+)
+
+// overdueMargin is how much later than it answers with what has arrived an
+// aggregator's answer counts as overdue: two frames and their processing on a
+// small VM.
+const overdueMargin = 50 * time.Millisecond
+
+// delegate hands a query to an aggregator and reports whether the caller was
+// answered. When it was not, the query has not run.
+func (n *Node) delegate(w http.ResponseWriter, r *http.Request, c *call) bool {
+	vm, ok := n.chooseAggregator(c)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.began.Add(c.deadline()))
+	defer cancel()
+	overdue := time.AfterFunc(n.answerAfter(c)+overdueMargin, func() { n.overdue(vm.Address) })
+	defer overdue.Stop()
+	answer, err := n.peers.Query(ctx, vm.Address, c.message())
+	outcome := delegationOutcome(r.Context(), &answer, err)
+	n.delegationEnded(vm, outcome, &answer)
+	took := time.Since(c.began)
+	switch {
+	case r.Context().Err() != nil:
+		n.metrics.gone.Inc(1)
+		klog.InfoS("Caller left", "request", c.info.RequestID, "aggregator", vm.Name, "took", took)
+		// Nobody reads the answer; this only ends the connection.
+		panic(http.ErrAbortHandler)
+	case outcome == delegation.Declined || notSent(err):
+		klog.InfoS("Delegation declined", "request", c.info.RequestID, "aggregator", vm.Name, "took", took, "err", err)
+		return false
+	case err != nil:
+		n.failDelegated(w, c, vm, err)
+	default:
+		n.passDelegated(w, c, vm, &answer)
+	}
+	return true
+}
+
+func (n *Node) chooseAggregator(c *call) (delegation.VM, bool) {
+	if !c.route.Gathers() {
+		return delegation.VM{}, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.aggregators.Choose(n.now(), func(addr string) bool { return n.links.Get(addr) != nil })
+}
+
+// message is the call as an aggregator gets it.
+func (c *call) message() message.Query {
+	q := message.Query{
+		RequestID: c.info.RequestID, Version: c.conf.Version, Method: c.request.Method, Host: c.request.Host,
+		Path: c.path, Target: c.request.Target, Header: c.request.Header, Body: c.request.Body, HasBody: c.request.HasBody,
+	}
+	if c.info.TimeLeft > 0 {
+		q.TimeLeft = max(c.info.TimeLeft-time.Since(c.began), time.Millisecond)
+	}
+	return q
+}
+
+// notSent reports whether a call to another VM is known not to have left this one.
+func notSent(err error) bool {
+	var failure *errs.Error
+	return errors.As(err, &failure) && failure.NotRun
+}
+
+func delegationOutcome(caller context.Context, answer *message.QueryAnswer, err error) delegation.Outcome {
+	switch {
+	case caller.Err() != nil || errors.Is(err, context.DeadlineExceeded):
+		return delegation.Withdrawn
+	case err != nil:
+		return delegation.Lost
+	case answer.Declined:
+		return delegation.Declined
+	}
+	return delegation.Answered
+}
+
+func (n *Node) delegationEnded(vm delegation.VM, outcome delegation.Outcome, answer *message.QueryAnswer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	n.aggregators.Ended(now, vm.Address, outcome)
+	if outcome == delegation.Answered || outcome == delegation.Declined {
+		n.aggregatorCutOff.Store(answer.CutOff)
+	}
+}
+
+func (n *Node) overdue(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	klog.ErrorS(nil, "The aggregator's answer is overdue", "peer", addr)
+	n.aggregators.Overdue(n.now(), addr)
+}
+
+// passDelegated writes an aggregator's answer.
+func (n *Node) passDelegated(w http.ResponseWriter, c *call, vm delegation.VM, answer *message.QueryAnswer) {
+	took := time.Since(c.began)
+	n.metrics.delegated.Inc(1)
+	n.metrics.latency.Update(took.Milliseconds())
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+	writeAnswer(w, c, answer.Status, answer.Body)
+	klog.InfoS("Answered by an aggregator", "request", c.info.RequestID, "route", c.route.Name, "version", c.conf.Version,
+		"aggregator", vm.Name, "status", answer.Status, "took", took)
+}
+
+// failDelegated answers a query whose outcome at the aggregator is not known. The
+// caller's next attempt is a request of its own, with leaves of its own; running
+// this one once more could take it to more leaves than its route allows.
+func (n *Node) failDelegated(w http.ResponseWriter, c *call, vm delegation.VM, err error) {
+	status := http.StatusBadGateway
+	if time.Since(c.began) >= c.deadline() {
+		status = http.StatusGatewayTimeout
+	}
+	n.metrics.failed.Inc(1)
+	klog.ErrorS(err, "Not answered by an aggregator", "request", c.info.RequestID, "route", c.route.Name,
+		"aggregator", vm.Name, "status", status, "took", time.Since(c.began))
+	n.codec.Refusal(w.Header(), c.info.RequestID, 0)
+	http.Error(w, "the query was lost at another VM", status)
+}
+
+// linkPeers keeps connections to the VMs that this one reads from or delegates
+// to. The caller holds mu.
+func (n *Node) linkPeers() {
+	addrs := append(n.sources.Peers(), n.aggregators.Addresses()...)
+	slices.Sort(addrs)
+	n.links.Set(n.work, slices.Compact(addrs))
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -24,10 +24,12 @@
 
 // call is one request of a caller.
 type call struct {
-	info    CallerInfo
-	conf    *fleet.Configuration
-	route   *fleet.Route
-	began   time.Time
+	info  CallerInfo
+	conf  *fleet.Configuration
+	route *fleet.Route
+	began time.Time
+	// path selected the route.
+	path    string
 	request leafconn.Request
 }
 
@@ -44,7 +46,7 @@
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	n.metrics.requests.Inc(1)
-	if n.drain.Draining() || n.cutOff.Load() {
+	if n.drain.Draining() || n.isolated() {
 		// The caller's next request goes to another node.
 		w.Header().Set("Connection", "close")
 	}
@@ -64,11 +66,17 @@
 		n.refuse(w, info, status, 0, err.Error())
 		return
 	}
-	c := &call{info: info, conf: conf, route: route, began: began, request: leafconn.Request{
+	c := &call{info: info, conf: conf, route: route, began: began, path: r.URL.EscapedPath(), request: leafconn.Request{
 		Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: n.codec.Forwarded(r.Header),
 		Body: body, HasBody: r.ContentLength != 0 || len(body) > 0 || r.Header.Get("Content-Length") != "",
 	}}
-	n.run(w, r, c)
+	if n.delegate(w, r, c) {
+		return
+	}
+	if !n.run(r.Context(), w, c) {
+		// Nobody reads the answer; this only ends the connection.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // readBody reads a request's body, which net/http bounds by its framing.
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -18,7 +18,7 @@
 	for ctx.Err() == nil {
 		refresh++
 		wait := directory.MemberRefresh
-		if err := n.store.Join(ctx, n.config.VM, refresh); err != nil {
+		if err := n.store.Join(ctx, n.config.self(), refresh); err != nil {
 			klog.ErrorS(err, "Cannot write the member entry")
 			wait = joinRetry
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	requests, answered, partial, refused, failed, gone metrics.Counter
 	leafSends, extraSends, leafFailures                metrics.Counter
 	storeCalls, storeErrors, peerCalls                 metrics.Counter
+	delegated, aggregated                              metrics.Counter
 	latency, leafLatency                               metrics.Histogram
 }
 
@@ -39,7 +40,8 @@
 		leafFailures: counter("leaf_failures_total"),
 		storeCalls:   counter("store_calls_total"), storeErrors: counter("store_errors_total"),
 		peerCalls: counter("peer_calls_total"),
-		latency:   histogram("request_ms"), leafLatency: histogram("leaf_request_ms"),
+		delegated: counter("requests_delegated_total"), aggregated: counter("requests_aggregated_total"),
+		latency: histogram("request_ms"), leafLatency: histogram("leaf_request_ms"),
 	}
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/answertime"
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
 	"github.com/medlarswitch/medlarswitch/internal/feedsource"
@@ -50,6 +51,10 @@
 	// leavesListed is true once the leaves were read; cutOff is true while this VM
 	// reaches too few leaves.
 	leavesListed, cutOff atomic.Bool
+	// aggregatorCutOff is what the last answer of an aggregator said of it.
+	aggregatorCutOff atomic.Bool
+	// aggregated are queries of other VMs.
+	aggregated aggregatedRuns
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -60,6 +65,8 @@
 	delays    *latency.Table
 	pools     map[fleet.LeafID]*pooled
 	sources   *feedsource.Chooser
+	// aggregators decides which VM runs a query over many shards.
+	aggregators *delegation.Chooser
 	// followers is not changed after the node was built.
 	followers []*follower
 }
@@ -78,7 +85,8 @@
 		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry()),
 		directory: directory.New(), table: placement.New(config.Placement),
 		ledger: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(), answers: answertime.New(),
-		sources: feedsource.New(config.Source), delays: latency.NewTable(), pools: make(map[fleet.LeafID]*pooled),
+		sources: feedsource.New(config.Source), aggregators: delegation.New(config.self()),
+		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, delays: latency.NewTable(), pools: make(map[fleet.LeafID]*pooled),
 	}
 	n.work, n.cancel = context.WithCancel(context.Background())
 	n.grace.Store(int64(config.Grace))
@@ -95,7 +103,7 @@
 	self := wire.Hello{
 		VM: topology.VMID(n.config.VM), Boot: topology.BootID(rand.Uint64()), Zone: topology.Zone(n.config.Zone), Role: wire.RoleNode,
 	}
-	options := wire.Options{Clock: timeline.NewClock(time.Now), Handler: n.hub.Handle, Stats: wire.NewStats(n.metrics.registry)}
+	options := wire.Options{Clock: timeline.NewClock(time.Now), Handler: n.handlePeer, Stats: wire.NewStats(n.metrics.registry)}
 	n.links = wire.NewLinks(self, options)
 	n.links.RedialMax = peerRedialMax
 	n.peers = peerfeed.NewClient(n.links)
@@ -160,11 +168,15 @@
 	case directory.KindEvacuations:
 		n.table.SetEvacuated(n.directory.Evacuated())
 	case directory.KindMembers:
-		members, _ := n.directory.Members(now)
-		if n.table.SetMembers(members) {
+		members := n.directory.Members(now)
+		if n.table.SetMembers(len(members)) {
 			n.limitPools()
 		}
-		n.ledger.SetMembers(members)
+		n.ledger.SetMembers(len(members))
+		if n.aggregators.SetMembers(members) {
+			klog.InfoS("Changed the aggregators", "peers", n.aggregators.Addresses(), "members", len(members))
+			n.linkPeers()
+		}
 	}
 }
 
@@ -193,7 +205,7 @@
 	n.ledger.SetConfig(config.ExtraLoad)
 	n.table.SetConfig(config.Placement)
 	n.sources.SetConfig(config.Source)
-	n.links.Set(n.work, n.sources.Peers())
+	n.linkPeers()
 	n.grace.Store(int64(config.Grace))
 	klog.InfoS("Read the settings anew", "extraRatio", config.ExtraLoad.Ratio, "extraSlack", config.ExtraLoad.Slack,
 		"coldFactor", config.Placement.ColdFactor, "coldSlack", config.Placement.ColdSlack, "grace", config.Grace)
@@ -202,7 +214,11 @@
 // ready reports whether new callers should be sent here. A VM that is cut off
 // from the other zones and cannot serve every route by itself sends its callers
 // to VMs elsewhere.
-func (n *Node) ready() bool { return n.known() && !n.drain.Draining() && !n.cutOff.Load() }
+func (n *Node) ready() bool { return n.known() && !n.drain.Draining() && !n.isolated() }
+
+// isolated reports whether queries can be answered neither here nor, as far as is
+// known, at an aggregator.
+func (n *Node) isolated() bool { return n.cutOff.Load() || n.aggregatorCutOff.Load() }
 
 // known reports whether the configuration and the leaves have been read.
 func (n *Node) known() bool { return n.inForce.Load() != nil && n.leavesListed.Load() }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
 	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
@@ -27,7 +28,7 @@
 	// Decode returns what an object means; an object without a meaning gives none.
 	Decode(kind directory.Kind, object objectfeed.Object) []directory.Event
 	// Join writes the member entry of a VM, Leave removes it.
-	Join(ctx context.Context, vm string, refresh uint64) error
+	Join(ctx context.Context, vm delegation.VM, refresh uint64) error
 	Leave(ctx context.Context, vm string) error
 }
 
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
@@ -45,3 +48,38 @@
 	defer n.mu.Unlock()
 	n.table.Reached(n.now(), choice.Zone)
 }
+
+// askEvery is the time between two questions to an aggregator that is cut off.
+// This VM gets no queries then, from whose answers it would learn.
+const askEvery = 500 * time.Millisecond
+
+// askAggregators asks whether the aggregators are still cut off, as long as the
+// last one that answered was, until the context is done.
+func (n *Node) askAggregators(ctx context.Context) {
+	for ctx.Err() == nil {
+		rest(ctx, askEvery)
+		if n.aggregatorCutOff.Load() {
+			n.askAggregator(ctx)
+		}
+	}
+}
+
+// askAggregator asks one aggregator. Without one this VM decides for itself.
+func (n *Node) askAggregator(ctx context.Context) {
+	n.mu.Lock()
+	vm, ok := n.aggregators.Choose(n.now(), func(addr string) bool { return n.links.Get(addr) != nil })
+	n.mu.Unlock()
+	if !ok {
+		n.aggregatorCutOff.Store(false)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askEvery)
+	defer cancel()
+	answer, err := n.peers.Query(ctx, vm.Address, message.Query{})
+	outcome := delegation.Answered
+	if err != nil {
+		klog.InfoS("Cannot ask an aggregator whether it is cut off", "aggregator", vm.Name, "err", err)
+		outcome = delegation.Lost
+	}
+	n.delegationEnded(vm, outcome, &answer)
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -30,8 +30,8 @@
 // maxMissingLogged bounds the length of a log line.
 const maxMissingLogged = 4
 
-// finish answers the caller.
-func (r *run) finish(w http.ResponseWriter, req *http.Request, answer query.Answer) {
+// finish answers the caller, if it is still there.
+func (r *run) finish(w http.ResponseWriter, answer query.Answer) bool {
 	n, route := r.node, r.call.route
 	took := time.Since(r.call.began)
 	n.metrics.latency.Update(took.Milliseconds())
@@ -40,8 +40,7 @@
 	case answer.Err == errs.ReasonCancelled:
 		n.metrics.gone.Inc(1)
 		r.log("Caller left", 0, took, answer)
-		// Nobody reads the answer; this only ends the connection.
-		panic(http.ErrAbortHandler)
+		return false
 	case route.Gathers() && answer.Covered >= least:
 		r.answerMerged(w, answer)
 		r.log("Answered", http.StatusOK, took, answer)
@@ -55,6 +54,7 @@
 	default:
 		r.fail(w, took, answer)
 	}
+	return true
 }
 
 // answerMerged writes the greatest records of the merged parts.
@@ -72,7 +72,7 @@
 		n.metrics.partial.Inc(1)
 	}
 	n.codec.Merged(w.Header(), r.call.info.RequestID, receipts, len(answer.Missing))
-	r.write(w, http.StatusOK, body)
+	writeAnswer(w, r.call, http.StatusOK, body)
 }
 
 // pass writes a leaf's reply unchanged.
@@ -85,14 +85,14 @@
 		// Without it net/http would add one of its own.
 		w.Header()["Content-Type"] = nil
 	}
-	r.write(w, a.reply.Status, a.reply.Body)
+	writeAnswer(w, r.call, a.reply.Status, a.reply.Body)
 }
 
-func (r *run) write(w http.ResponseWriter, status int, body []byte) {
+func writeAnswer(w http.ResponseWriter, c *call, status int, body []byte) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
-		klog.InfoS("The caller did not take its answer", "request", r.call.info.RequestID, "err", err)
+		klog.InfoS("The caller did not take its answer", "request", c.info.RequestID, "err", err)
 	}
 }
 
@@ -118,7 +118,7 @@
 
 // retryAfter is when a caller whose request did not run may come back.
 func (n *Node) retryAfter(answer query.Answer) time.Duration {
-	if n.cutOff.Load() {
+	if n.isolated() {
 		return elsewhereRetry
 	}
 	for _, m := range answer.Missing {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,16 +44,16 @@
 	free bool
 }
 
-// run carries one request to the leaves and answers it.
-func (n *Node) run(w http.ResponseWriter, r *http.Request, c *call) {
+// run carries one request to the leaves and answers it. It returns false, without
+// an answer, when the context was done: the caller left.
+func (n *Node) run(ctx context.Context, w http.ResponseWriter, c *call) bool {
 	shards := c.route.Shards
 	if !c.route.Gathers() {
 		shards = []fleet.ServiceName{n.serviceOf(c.route)}
 	}
 	out := &run{node: n, call: c, results: make(chan result, len(shards)*max(c.route.Attempts, 1)+1)}
 	out.machine = query.New(out.params(len(shards)), n.plan(c.route, shards))
-	answer := out.loop(r.Context())
-	out.finish(w, r, answer)
+	return out.finish(w, out.loop(ctx))
 }
 
 // serviceOf returns the service of a request for one leaf.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,12 +56,15 @@
 	defer peers.Close()
 	defer n.server.Close()
 	go func() { failed <- n.server.Serve(work, peers) }()
-	n.links.Set(work, n.sources.Peers())
+	n.mu.Lock()
+	n.linkPeers()
+	n.mu.Unlock()
 	for _, f := range n.followers {
 		go f.run(work)
 	}
 	go n.stayMember(work)
 	go n.exchangeSpeeds(work)
+	go n.askAggregators(work)
 	go n.housekeep(work, connections)
 	select {
 	case err := <-failed:
@@ -89,6 +92,9 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		klog.InfoS("Requests were still running at the end of the grace time", "err", err)
 	}
+	if !n.drain.Wait(grace - stopMargin - time.Since(began)) {
+		klog.InfoS("Queries of other VMs were still running at the end of the grace time")
+	}
 }
 
 func (n *Node) readyHandler() http.Handler {
--- a/internal/peerfeed/client.go
+++ b/internal/peerfeed/client.go
@@ -50,3 +50,17 @@
 	}
 	return answer, wire.DecodeBody(env, &answer)
 }
+
+// Query hands a query to the VM at an address. The context bounds the wait.
+func (c *Client) Query(ctx context.Context, addr string, q message.Query) (message.QueryAnswer, error) {
+	var answer message.QueryAnswer
+	peer := c.links.Get(addr)
+	if peer == nil {
+		return answer, errs.New(errs.StepForward, addr, errs.ReasonConnectionLost, true, "no connection to the VM")
+	}
+	env, err := peer.Call(ctx, wire.KindQuery, "", topology.Snapshot{}, q)
+	if err != nil {
+		return answer, err
+	}
+	return answer, wire.DecodeBody(env, &answer)
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -11,12 +11,17 @@
 	maxSlack  = 1_000_000
 	maxGrace  = 10 * time.Minute
 	maxWarmUp = 100
+	minCPU    = 0.001
+	maxCPU    = 1000
 )
 
 // Node are the settings of medlar-node.
 type Node struct {
 	// VM and Zone name the machine and its availability zone.
 	VM, Zone string
+	// CPUShare is the part of a core that the process may use, CPUSpeed how many
+	// times as fast as the usual one that core is.
+	CPUShare, CPUSpeed float64
 	// Callers, Ready and Admin are listeners: for callers, for the balancer's
 	// readiness check, and for metrics.
 	Callers, Ready, Admin string
@@ -44,6 +49,8 @@
 func (n *Node) read(t *tomldoc.Table) {
 	n.VM, _ = t.String("vm")
 	n.Zone, _ = t.String("zone")
+	n.CPUShare, _ = t.Float("cpu_share", minCPU, maxCPU)
+	n.CPUSpeed, _ = t.Float("cpu_speed", minCPU, maxCPU)
 	n.Callers = address(t, "callers")
 	n.Ready = address(t, "ready")
 	n.Admin = address(t, "admin")
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -30,4 +30,6 @@
 	KindFeedRequest  Kind = 23
 	KindFeedAnswer   Kind = 24
 	KindLeafSpeeds   Kind = 25
+	KindQuery        Kind = 26
+	KindQueryAnswer  Kind = 27
 )
