Add a fault soak of medlar-node with separate processes

test/soak starts four nodes in two zones, built with the race detector, on stand-ins of the store and of 28 leaves. Callers keep using their connections.

Checked: whole and consistent answers of the request's own parts, orders that run once or, when refused, never, nothing that nobody sent, leaving leaves and versions in time, no version that goes back, no connection closed on a request, work that ends with its caller, stops within the grace time, no process that ends by itself, recovery within 12 s, no panic or data race.

Seen while it was written, all faults of the soak itself: a run 685 ms after its caller had left, at a process that had been stopped for 685 ms (the work is judged from when the process runs again; such times are left out); a restart that another kill overtook; ports that outgoing connections had taken.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -78,7 +78,7 @@
 
 func (c *Cluster) start(ctx context.Context) error {
 	var err error
-	c.standin, err = startProcess(c.opts.Dir, "standin", filepath.Join(c.opts.Bin, "medlar-standin"),
+	c.standin, err = StartProcess(c.opts.Dir, "standin", filepath.Join(c.opts.Bin, "medlar-standin"),
 		"--user", c.opts.User, "--net", c.Fleet.Net, "--vms-per-zone", fmt.Sprint(c.opts.VMsPerZone))
 	if err != nil {
 		return err
@@ -106,7 +106,7 @@
 	if err := os.WriteFile(path, []byte(c.settings(vm, role)), 0o644); err != nil {
 		return err
 	}
-	p, err := startProcess(c.opts.Dir, name, filepath.Join(c.opts.Bin, "medlar-"+role), "--settings", path)
+	p, err := StartProcess(c.opts.Dir, name, filepath.Join(c.opts.Bin, "medlar-"+role), "--settings", path)
 	if err != nil {
 		return err
 	}
--- a/internal/harness/fault_forwarder.go
+++ b/internal/harness/fault_forwarder.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Direction names one way through a Forwarder.
@@ -15,10 +17,15 @@
 )
 
 // Forwarder passes TCP connections on to an address. It can make open
-// connections silent without closing them, while new ones work.
+// connections silent without closing them, while new ones work, delay or reset
+// them, and hold new ones without an answer.
 type Forwarder struct {
 	listener net.Listener
 	target   string
+	// delay is added to each piece of bytes, a time.Duration.
+	delay atomic.Int64
+	// holding is true while new connections are accepted and not passed on.
+	holding atomic.Bool
 
 	mu    sync.Mutex
 	pairs []*forwarded
@@ -30,6 +37,7 @@
 	// silent is closed for a direction that passes nothing on any more.
 	silent [2]chan struct{}
 	once   [2]sync.Once
+	delay  *atomic.Int64
 }
 
 // NewForwarder listens on an address and passes connections on to the target.
@@ -59,6 +67,26 @@
 	return len(f.pairs)
 }
 
+// SetDelay delays each piece of bytes in both directions.
+func (f *Forwarder) SetDelay(d time.Duration) { f.delay.Store(int64(d)) }
+
+// Hold accepts new connections without passing them on, as long as it is set.
+func (f *Forwarder) Hold(on bool) { f.holding.Store(on) }
+
+// Reset ends the open connections with a reset.
+func (f *Forwarder) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pairs {
+		for _, c := range []net.Conn{p.client, p.server} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+		}
+		p.close()
+	}
+}
+
 // Opened returns how many connections there have been.
 func (f *Forwarder) Opened() int {
 	f.mu.Lock()
@@ -82,12 +110,16 @@
 		if err != nil {
 			return
 		}
+		if f.holding.Load() {
+			f.hold(client)
+			continue
+		}
 		server, err := net.Dial("tcp", f.target)
 		if err != nil {
 			_ = client.Close()
 			continue
 		}
-		p := &forwarded{client: client, server: server, silent: [2]chan struct{}{make(chan struct{}), make(chan struct{})}}
+		p := &forwarded{client: client, server: server, silent: [2]chan struct{}{make(chan struct{}), make(chan struct{})}, delay: &f.delay}
 		f.mu.Lock()
 		f.pairs = append(f.pairs, p)
 		f.mu.Unlock()
@@ -96,6 +128,14 @@
 	}
 }
 
+// hold keeps a connection that is not passed on until the forwarder is closed or
+// resets its connections.
+func (f *Forwarder) hold(client net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pairs = append(f.pairs, &forwarded{client: client, server: client, silent: [2]chan struct{}{make(chan struct{}), make(chan struct{})}})
+}
+
 // copy passes bytes on; when the direction is silent it drops them, and also
 // the end of the connection.
 func (p *forwarded) copy(from, to net.Conn, d Direction) {
@@ -110,6 +150,9 @@
 			continue
 		default:
 		}
+		if d := time.Duration(p.delay.Load()); d > 0 {
+			time.Sleep(d)
+		}
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -22,8 +22,8 @@
 	err  error
 }
 
-// startProcess runs a program with its output in a file of the directory.
-func startProcess(dir, name, binary string, args ...string) (*Process, error) {
+// StartProcess runs a program with its output in a file of the directory.
+func StartProcess(dir, name, binary string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return nil, err
@@ -45,6 +45,12 @@
 // Signal sends a signal, such as SIGSTOP or SIGKILL.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Err is how the process ended, once Done is closed.
+func (p *Process) Err() error { return p.err }
+
 // Running reports whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
