Let no SIGHUP end a process that stops

Cause: OnReload gave SIGHUP back to its default action when the stop began. Ruled out: memory, the idle limit of connections, an answer with no status.

Tests: TestHangupWhileStoppingEndsNothing ended with "signal: hangup" before.

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -44,6 +44,7 @@
 Without --settings the file is the one that MEDLARSWITCH_CONFIG names.`
 
 func main() {
+	lifecycle.IgnoreHangup()
 	d := command.Daemon{
 		Name: "medlar-node", Usage: "answer callers on the users' platform",
 		Description: description + notes, Load: load,
--- a/internal/lifecycle/reload_test.go
+++ b/internal/lifecycle/reload_test.go
@@ -27,6 +27,21 @@
 	expect(t, reloads, 2*filePoll)
 }
 
+// Guards against a process that ends on SIGHUP while it stops: its callers' requests
+// are still running then.
+func TestHangupWhileStoppingEndsNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	ctx, cancel := context.WithCancel(context.Background())
+	reloads := make(chan struct{}, 10)
+	ended := OnReload(ctx, path, func() { reloads <- struct{}{} })
+	cancel()
+	<-ended
+	// The default action of the signal would end the test.
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, len(reloads), 0)
+}
+
 func expect(t *testing.T, reloads <-chan struct{}, within time.Duration) {
 	t.Helper()
 	select {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,6 +34,11 @@
 			n.terminate()
 		}
 	}},
+	{"term, then hup", true, func(w *world, rnd *rand.Rand, hold time.Duration) {
+		n := pick(rnd, w.nodes)
+		time.AfterFunc(min(hold, time.Second), func() { n.signal(syscall.SIGHUP) })
+		n.terminate()
+	}},
 	{"pause", false, func(w *world, rnd *rand.Rand, hold time.Duration) {
 		n := pick(rnd, w.nodes)
 		defer w.history.begin("pause", n.name)()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -49,7 +49,10 @@
 )
 
 // regressions are seeds that have failed, each with its cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	401: "SIGHUP ended a process that was stopping",
+	403: "SIGHUP ended a process that was stopping",
+}
 
 var program string
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -88,8 +88,12 @@
 
 	mu      sync.Mutex
 	process *harness.Process
-	// stopping is true once an action has sent a signal that ends the process.
-	stopping bool
+	// stopping and killed are true once an action has sent a signal that ends the
+	// process gracefully or at once.
+	stopping, killed bool
+	// wasReady is true once the process was ready. A signal before may come before
+	// the program listens for it.
+	wasReady bool
 	// boot counts the starts.
 	boot int
 }
@@ -218,9 +222,9 @@
 		p := n.start(first)
 		<-p.Done()
 		n.mu.Lock()
-		stopped := n.stopping
+		expected := n.killed || n.stopping && (p.Err() == nil || !n.wasReady)
 		n.mu.Unlock()
-		if !stopped {
+		if !expected {
 			n.world.history.violation("exit", "%s ended by itself: %v", n.name, p.Err())
 		}
 		select {
@@ -244,7 +248,7 @@
 	if err != nil {
 		panic(err)
 	}
-	n.process, n.stopping = process, false
+	n.process, n.stopping, n.killed, n.wasReady = process, false, false, false
 	n.boot++
 	end := n.world.history.begin("start", n.name)
 	go func() {
@@ -252,6 +256,11 @@
 		for process.Running() && !n.isReady() {
 			time.Sleep(20 * time.Millisecond)
 		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.process == process {
+			n.wasReady = true
+		}
 	}()
 	return process
 }
@@ -281,7 +290,8 @@
 	if n.process == nil || !n.process.Running() {
 		return
 	}
-	n.stopping = n.stopping || s == syscall.SIGTERM || s == syscall.SIGKILL
+	n.stopping = n.stopping || s == syscall.SIGTERM
+	n.killed = n.killed || s == syscall.SIGKILL
 	if s == syscall.SIGKILL {
 		// The next start ends the time in which the node is disturbed.
 		n.world.history.begin("kill", n.name)()
@@ -304,6 +314,9 @@
 			}
 		})
 		n.world.history.begin("kill after the grace time", n.name)()
+		n.mu.Lock()
+		n.killed = true
+		n.mu.Unlock()
 		_ = p.Signal(syscall.SIGKILL)
 	}
 }
