--- /dev/null
+++ b/internal/lifecycle/signal_test.go
@@ -0,0 +1,26 @@
+package lifecycle
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a process that a second stop signal ends while it still stops.
+func TestSecondStopSignalEndsNothing(t *testing.T) {
+	ctx, cancel := StopContext(context.Background())
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+		t.Fatal("the signal was not taken")
+	}
+	cancel()
+	// The default action of the signal would end the test.
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	time.Sleep(50 * time.Millisecond)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -51,6 +51,7 @@
 // regressions are seeds that have failed, each with its cause.
 var regressions = map[uint64]string{
 	401: "SIGHUP ended a process that was stopping",
+	402: "SIGHUP, and a second SIGTERM, ended a process that was stopping",
 	403: "SIGHUP ended a process that was stopping",
 }
 
