--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -142,18 +141,6 @@
 	}
 }
 
-// body is what the leaf answers with.
-func (l *leaf) body() []byte {
-	var shard int
-	if _, err := fmt.Sscanf(l.Service, "s%d", &shard); err == nil && l.Service != "single" {
-		return []byte(record('a', shard) + record('A', shard))
-	}
-	if _, err := fmt.Sscanf(l.Service, "t%d", &shard); err == nil {
-		return []byte(record('g', shard) + record('G', shard))
-	}
-	return []byte("single")
-}
-
 // pickLeaf prefers the leaves that run orders, which are few.
 func (w *world) pickLeaf(rnd *rand.Rand) *leaf {
 	orders := slices.DeleteFunc(slices.Clone(w.leaves), func(l *leaf) bool { return l.Service != "single" })
