Tell idle connections of a stop that no more requests run

Cause: the stop closes idle connections after 2.5 s. A packet that is lost is sent again after 200 ms or more. Ruled out: a process that stood still, SIGHUP, a request in work.

Change: the stop first answers idle connections with 408 and a time to come back, and closes them 50 ms later. For a request that is on its way this is its answer. It is true: a connection that was told so handles no request any more, under one lock with the begin of a request. Connections whose idle time is over are closed under the same lock.

Tests: TestIdleConnectionsAreToldOfTheStop (unexpected EOF before).

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -44,6 +44,9 @@
 
 // serve answers one request of a caller.
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	if conn := callerConnOf(r.Context()); conn != nil && !conn.begin() {
+		panic(http.ErrAbortHandler)
+	}
 	began := time.Now()
 	n.metrics.requests.Inc(1)
 	if n.drain.Draining() || n.isolated() {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,7 +36,7 @@
 	defer n.cancel()
 	connections := newCallerConns(n)
 	callers := &http.Server{
-		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, ConnState: connections.changed,
+		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, ConnState: connections.changed, ConnContext: connections.opened,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
@@ -71,13 +71,13 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	n.stop(work, callers)
+	n.stop(work, callers, connections)
 	return nil
 }
 
 // stop fails readiness, goes on serving until the balancer has noticed, and
 // then waits for requests that are running.
-func (n *Node) stop(ctx context.Context, callers *http.Server) {
+func (n *Node) stop(ctx context.Context, callers *http.Server, connections *callerConns) {
 	began := time.Now()
 	n.drain.Begin()
 	grace := time.Duration(n.grace.Load())
@@ -87,6 +87,8 @@
 	// A process that stood still has requests in its sockets that were sent in
 	// time; they are read before idle connections are closed.
 	rest(ctx, stopSettle)
+	connections.end()
+	rest(ctx, stopSettle)
 	ctx, cancel := context.WithTimeout(ctx, grace-stopMargin-time.Since(began))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
