Check for closed connections before a dispatch to a warm leaf

Cause: a leaf that crashed while idle closes its connections, but the relay learned of it only when the HTTP client's pending read was scheduled and its event passed the inbox. On a busy machine two requests were dispatched before that, both to a cold leaf. TestCloseIsDetectedWithoutAPendingRead shows the cause without a race.

--- a/internal/relay/leaf_client.go
+++ b/internal/relay/leaf_client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,12 +49,15 @@
 	// closed counts the connections that the leaf has closed; closedAtProbe is
 	// its value when the last successful probe began.
 	closed, closedAtProbe atomic.Uint64
+
+	mu   sync.Mutex
+	open map[*leafConn]struct{}
 }
 
 // newLeafClient returns a client that opens at most the given number of
 // connections. onClosed must not block.
 func newLeafClient(leaf *topology.Leaf, connections int, onClosed func(uint64)) *leafClient {
-	c := &leafClient{leaf: leaf, onClosed: onClosed}
+	c := &leafClient{leaf: leaf, onClosed: onClosed, open: make(map[*leafConn]struct{})}
 	c.transport = &http.Transport{
 		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
 		IdleConnTimeout: idleConnTimeout, DialContext: c.dial,
@@ -81,7 +85,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &leafConn{Conn: conn, onRemoteClose: func() { c.onClosed(c.closed.Add(1)) }}, nil
+	out := &leafConn{Conn: conn, onRemoteClose: func() { c.onClosed(c.closed.Add(1)) }, onLocalClose: c.forget}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[out] = struct{}{}
+	return out, nil
+}
+
+// forget removes a connection that this side closes.
+func (c *leafClient) forget(conn *leafConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
+// closedByLeaf returns the number of connections that the leaf has closed so far.
+// Closes that the kernel has received count even if no pending Read has returned yet.
+func (c *leafClient) closedByLeaf() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.detectClose()
+	}
+	return c.closed.Load()
 }
 
 // run sends one request and waits for its reply. startBy is in wall time.
--- a/internal/relay/leaf_client_test.go
+++ b/internal/relay/leaf_client_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -33,3 +34,21 @@
 	assert.Equal(t, <-accepted, "")
 	assert.Equal(t, <-encoding, "")
 }
+
+// Guards against a dispatch to a restarted leaf whose closed connection no goroutine
+// has noticed yet: on a busy machine a pending read can return after the dispatch.
+func TestCloseIsDetectedWithoutAPendingRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	client := newLeafClient(&topology.Leaf{ID: "leaf", Address: listener.Addr().String()}, 2, func(uint64) {})
+	conn, err := client.dial(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	assert.Equal(t, client.closedByLeaf(), uint64(0))
+	assert.NilError(t, accepted.Close())
+	assert.Equal(t, client.closedByLeaf(), uint64(1))
+	assert.Equal(t, client.closedByLeaf(), uint64(1))
+}
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -196,6 +196,7 @@
 // step applies an event to the queue under the current limit.
 func (w *leafWorker) step(ctx context.Context, ev leafqueue.Event) {
 	now := w.proc.Now()
+	w.detectRestart(now, ev)
 	w.updateLease()
 	w.openOrCloseQueue(ctx, now)
 	w.perform(ctx, w.queue.Step(now, w.limit(now)))
@@ -207,6 +208,17 @@
 	}
 }
 
+// detectRestart tells the tracker of closed connections before requests are
+// dispatched to a warm leaf. The event connectionClosed can be in the inbox behind
+// the requests, or not yet there; the leaf may be cold again by then.
+func (w *leafWorker) detectRestart(now time.Duration, ev leafqueue.Event) {
+	_, isAdd := ev.(leafqueue.Add)
+	if w.tracker.State() != warmup.Warm || (!isAdd && w.queue.Queued() == 0) {
+		return
+	}
+	w.recordTransitions(w.tracker.Step(now, warmup.ConnectionClosed{ClosedCount: w.client.closedByLeaf()}))
+}
+
 // openOrCloseQueue closes the queue while the leaf can get no requests, so that
 // they are refused at once and can move to another leaf, and opens it afterwards.
 func (w *leafWorker) openOrCloseQueue(ctx context.Context, now time.Duration) {
