Copy a listing for other VMs only when one is requested

Cause: the hub built the listing of a kind for each call of another VM, also for watches, and each change wakes the watches of all readers. A history of 1,024 changes is too short for 1,350 leaves: when they are replaced, every reader would list them all again. Change: a watch reads only the changes; the history holds four changes for each object, and trimming it no longer copies it.

--- a/internal/objectfeed/cache.go
+++ b/internal/objectfeed/cache.go
@@ -1,8 +1,14 @@
 package objectfeed
 
-// maxHistory is how many changes a cache keeps. A reader that is further behind has
-// to list all objects again.
-const maxHistory = 1024
+const (
+	// minHistory is how many changes a cache keeps at least. A reader that is further
+	// behind has to list all objects again.
+	minHistory = 1024
+	// historyPerObject is how many changes a cache keeps for each object: while all
+	// leaves are replaced at once, each old one starts to leave and is removed, and
+	// each new one is added and becomes ready.
+	historyPerObject = 4
+)
 
 // Cache is a copy of the objects of one kind with a history of their changes. It is
 // not safe for concurrent use.
@@ -39,9 +45,9 @@
 		c.history = append(c.history, change{changes.Revision, o})
 	}
 	c.revision = changes.Revision
-	if excess := len(c.history) - maxHistory; excess > 0 {
+	if excess := len(c.history) - max(minHistory, historyPerObject*len(c.objects)); excess > 0 {
 		c.historyStart = c.history[excess-1].revision
-		c.history = append(c.history[:0:0], c.history[excess:]...)
+		c.history = c.history[excess:]
 	}
 }
 
@@ -54,13 +60,16 @@
 	}
 }
 
-// List returns all objects. It returns false before the first listing.
-func (c *Cache) List() (Changes, bool) {
-	out := Changes{Revision: c.revision, IsListing: true}
+// Listed reports whether the cache holds a complete copy.
+func (c *Cache) Listed() bool { return c.listed }
+
+// List returns all objects. It returns none before the first listing.
+func (c *Cache) List() Changes {
+	out := Changes{Revision: c.revision, IsListing: true, Objects: make([]Object, 0, len(c.objects))}
 	for _, o := range c.objects {
 		out.Objects = append(out.Objects, o)
 	}
-	return out, c.listed
+	return out
 }
 
 // Since returns the changes after a revision, or false if the history no longer
--- a/internal/objectfeed/cache_test.go
+++ b/internal/objectfeed/cache_test.go
@@ -51,7 +51,7 @@
 func read(c *Cache, reader map[string]string, at uint64) uint64 {
 	changes, ok := c.Since(at)
 	if !ok {
-		if changes, ok = c.List(); !ok || changes.Revision < at {
+		if changes = c.List(); !c.Listed() || changes.Revision < at {
 			return at
 		}
 		clear(reader)
@@ -73,12 +73,34 @@
 	_, ok := c.Since(0)
 	assert.Assert(t, !ok)
 	c.Apply(Changes{Revision: 1, IsListing: true})
-	for i := range 3 * maxHistory {
+	for i := range 3 * minHistory {
 		c.Apply(Changes{Revision: uint64(i + 2), Objects: []Object{{Name: "a"}}})
 	}
-	assert.Equal(t, len(c.history), maxHistory)
+	assert.Equal(t, len(c.history), minHistory)
 	_, ok = c.Since(5)
 	assert.Assert(t, !ok)
 	_, ok = c.Since(c.historyStart)
 	assert.Assert(t, ok)
 }
+
+// Load pattern: all leaves of a large index are replaced within seconds, while a
+// reader is slow. Guards against a fleet in which every VM lists all leaves again.
+func TestReplacementOfAllLeavesFitsTheHistory(t *testing.T) {
+	const leaves = 1350
+	listing := Changes{Revision: 1, IsListing: true}
+	for i := range leaves {
+		listing.Objects = append(listing.Objects, Object{Name: fmt.Sprint("old-", i)})
+	}
+	var c Cache
+	c.Apply(listing)
+	revision := listing.Revision
+	for i := range leaves {
+		for _, o := range []Object{{Name: fmt.Sprint("new-", i)}, {Name: fmt.Sprint("old-", i)}, {Name: fmt.Sprint("old-", i), Deleted: true}} {
+			revision++
+			c.Apply(Changes{Revision: revision, Objects: []Object{o}})
+		}
+	}
+	changes, ok := c.Since(listing.Revision)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(changes.Objects), 2*leaves)
+}
--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -183,12 +183,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	age, cache := h.freshness.Age(h.now(), Kind(r.Kind)), h.cache(Kind(r.Kind))
-	listing, ready := cache.List()
-	listing.Age = age
-	if r.List || !ready {
-		return message.FeedAnswer{Ready: ready, Changes: listing}, h.changed
+	answer := message.FeedAnswer{Ready: cache.Listed()}
+	if r.List || !answer.Ready {
+		answer.Changes = cache.List()
+	} else {
+		// A watch must not cost as much as a listing: each change wakes the watches
+		// of all readers.
+		var ok bool
+		answer.Changes, ok = cache.Since(r.From)
+		answer.HistoryGone = !ok
 	}
-	changes, ok := cache.Since(r.From)
-	changes.Age = age
-	return message.FeedAnswer{Ready: true, HistoryGone: !ok, Changes: changes}, h.changed
+	answer.Changes.Age = age
+	return answer, h.changed
 }
