Bound a leaf's head and the memory of bodies, and refuse unnamed copies

Causes, found by tests with a scripted leaf: (1) a head without end was read without a limit; (2) a body was allocated by its stated length, and 50 leaves could hold 400 MB; closing an unread body read the rest of it; (3) a reply that names no request was accepted on a connection in use again, so that a late copy without an ID reached the next caller. Change: a head has 64 KiB; bodies beyond 64 KiB share 32 MiB and grow with the bytes that arrive; what may be reused after which reply is one rule in readReply; a reply without an ID is an error on a connection whose leaf named its requests before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -86,9 +86,14 @@
 	request := c.request
 	request.OnSend = func() { a.queued.Store(false) }
 	request.Header = n.codec.LeafRequestHeader(c.request.Header, c.info.RequestID, a.leaf, time.Until(deadline))
-	reply, err := pool.Exchange(ctx, &request, deadline, func(h http.Header) bool {
-		id := n.codec.ParseReply(0, h).RequestID
-		return id == "" || id == c.info.RequestID
+	reply, err := pool.Exchange(ctx, &request, deadline, func(h http.Header) leafconn.Match {
+		switch n.codec.ParseReply(0, h).RequestID {
+		case c.info.RequestID:
+			return leafconn.MatchOwn
+		case "":
+			return leafconn.MatchUnnamed
+		}
+		return leafconn.MatchOther
 	})
 	res := result{attempt: a, reply: reply, err: err}
 	if reply != nil {
--- a/internal/leafconn/conn.go
+++ b/internal/leafconn/conn.go
@@ -16,6 +16,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit limits what reader reads.
+	limit *limitedReader
 	// idleUntil is when the idle connection expires and must not be used any
 	// more.
 	idleUntil time.Time
@@ -23,10 +25,13 @@
 	idleTimeout time.Duration
 	// reused is true once a reply was read on the connection.
 	reused bool
+	// namesRequests is true once a reply on the connection named its request.
+	namesRequests bool
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	limit := &limitedReader{r: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: defaultIdleTimeout}
 }
 
 // close closes the connection. An error is ignored, as the connection is not
--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -11,20 +11,28 @@
 )
 
 const (
-	// maxReplyBytes limits the body of a reply.
-	maxReplyBytes = 8 << 20
+	// maxHeadBytes limits the status line and the headers of a reply, like those of a
+	// caller's request.
+	maxHeadBytes = 64 << 10
+	// maxFramedBodyBytes limits the bytes of a body with its chunk headers, which may
+	// be as long as the data of small chunks.
+	maxFramedBodyBytes = 2*maxReplyBytes + maxHeadBytes
 	// maxStrayReplies limits the replies to other requests that are skipped.
 	maxStrayReplies = 4
 )
 
-// errTooManyStrays is returned when too many replies on a connection belong to
-// other requests.
-var errTooManyStrays = errors.New("too many replies to other requests")
+var (
+	// errTooManyStrays is returned when too many replies on a connection belong to
+	// other requests.
+	errTooManyStrays = errors.New("too many replies to other requests")
+	// errUnnamedReply is returned for a reply that may belong to an earlier request.
+	errUnnamedReply = errors.New("the reply names no request, but earlier ones on the connection did")
+)
 
 // Exchange sends a request and returns the leaf's reply. At the deadline, or
 // when the context is cancelled, it closes the connection and returns an error.
-// matches reports whether a reply with these headers belongs to the request.
-func (p *Pool) Exchange(ctx context.Context, r *Request, deadline time.Time, matches func(http.Header) bool) (*Reply, error) {
+// match returns to which request a reply with these headers belongs.
+func (p *Pool) Exchange(ctx context.Context, r *Request, deadline time.Time, match func(http.Header) Match) (*Reply, error) {
 	waitCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := p.acquireSlot(waitCtx); err != nil {
@@ -40,7 +48,7 @@
 		return nil, &Error{Step: StepDial, Err: err}
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	reply, reusable, err := c.exchange(r, deadline, matches)
+	reply, reusable, err := c.exchange(r, deadline, match)
 	if stopped := stop(); err == nil && reusable && stopped {
 		p.putConn(c)
 	} else {
@@ -49,10 +57,10 @@
 	return reply, err
 }
 
-// exchange writes the request and reads replies until one matches. The
+// exchange writes the request and reads replies until one belongs to it. The
 // connection is reusable when no data of the request or the reply is left on
 // it.
-func (c *conn) exchange(r *Request, deadline time.Time, matches func(http.Header) bool) (*Reply, bool, error) {
+func (c *conn) exchange(r *Request, deadline time.Time, match func(http.Header) Match) (*Reply, bool, error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return nil, false, &Error{Step: StepWrite, ConnectionLost: true, Err: err}
 	}
@@ -74,7 +82,7 @@
 			written <- err
 		}()
 	}
-	reply, reusable, err := c.readReply(r.Method, matches)
+	reply, reusable, err := c.readReply(r.Method, match)
 	if err != nil {
 		return nil, false, &Error{Step: StepRead, Sent: true, ConnectionLost: !isTimeout(err), Err: err}
 	}
@@ -90,10 +98,13 @@
 	return reply, reusable, nil
 }
 
-// readReply returns the first final reply that matches, and whether the
-// connection can be reused.
-func (c *conn) readReply(method string, matches func(http.Header) bool) (*Reply, bool, error) {
+// readReply returns the first final reply to the request, and whether the connection
+// can be reused. It can if the reply states where it ends, announces no close, and no
+// byte follows it. A late copy of an earlier reply is skipped if it names its request;
+// if it names none, it is an error on a connection whose leaf names them.
+func (c *conn) readReply(method string, match func(http.Header) Match) (*Reply, bool, error) {
 	for range maxStrayReplies {
+		c.limit.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, false, err
@@ -101,39 +112,28 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(resp)
-		if err != nil {
-			return nil, false, err
+		matched := match(resp.Header)
+		if matched == MatchUnnamed && c.namesRequests {
+			return nil, false, errUnnamedReply
 		}
+		c.limit.left = maxFramedBodyBytes
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		if matches(resp.Header) {
+		if matched != MatchOther {
+			text, err := new(body).readFrom(resp)
+			c.namesRequests = matched == MatchOwn
 			reusable := framed && !resp.Close && c.reader.Buffered() == 0
-			return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
+			return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: text}, reusable, err
 		}
 		if !framed || resp.Close {
 			return nil, false, io.ErrUnexpectedEOF
 		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, false, err
+		}
 	}
 	return nil, false, errTooManyStrays
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	if resp.ContentLength > maxReplyBytes {
-		return nil, errors.Errorf("the reply has %d bytes, more than %d", resp.ContentLength, maxReplyBytes)
-	}
-	if resp.ContentLength > 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = errors.Errorf("the reply has more than %d bytes", maxReplyBytes)
-	}
-	return body, err
-}
-
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
--- a/internal/leafconn/exchange_test.go
+++ b/internal/leafconn/exchange_test.go
@@ -65,10 +65,23 @@
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + extra + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
+// matchID matches replies whose header Id names a request.
+func matchID(id string) func(http.Header) Match {
+	return func(h http.Header) Match {
+		switch h.Get("Id") {
+		case id:
+			return MatchOwn
+		case "":
+			return MatchUnnamed
+		}
+		return MatchOther
+	}
+}
+
 func exchange(pool *Pool, id string, timeout time.Duration) (*Reply, error) {
 	return pool.Exchange(context.Background(), &Request{
 		Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
-	}, time.Now().Add(timeout), func(h http.Header) bool { return h.Get("Id") == id })
+	}, time.Now().Add(timeout), matchID(id))
 }
 
 // Guards against accepting a reply that belongs to another request or is
@@ -176,7 +189,7 @@
 	time.AfterFunc(30*time.Millisecond, cancel)
 	start := time.Now()
 	_, err := pool.Exchange(ctx, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}},
-		start.Add(time.Minute), func(http.Header) bool { return true })
+		start.Add(time.Minute), func(http.Header) Match { return MatchOwn })
 	assert.Assert(t, err != nil)
 	assert.Assert(t, (<-closed).Sub(start) < 400*time.Millisecond)
 	start = time.Now()
@@ -221,23 +234,28 @@
 // Guards against sending the rest of a long body on a connection whose leaf has
 // already replied and expects the next request.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	answered := make(chan struct{})
 	pool, _ := fakeLeaf(t, func(n int, c net.Conn, r *bufio.Reader) {
 		if n > 1 {
 			id, _ := read(r)
 			_, _ = io.WriteString(c, reply(id, "abc"))
 			return
 		}
+		_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
 		_, _ = io.WriteString(c, reply("1", "early"))
-		time.Sleep(50 * time.Millisecond)
+		<-answered
 		read(r)
 	})
-	const size = 4 << 20
+	// More than the socket buffers hold. A body that they hold is written completely, so
+	// that the connection is reused.
+	const size = 8 << 20
 	answer, err := pool.Exchange(context.Background(), &Request{
 		Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: make([]byte, size), HasBody: true,
-	}, time.Now().Add(time.Second), func(h http.Header) bool { return h.Get("Id") == "1" })
+	}, time.Now().Add(5*time.Second), matchID("1"))
+	close(answered)
 	assert.NilError(t, err)
 	assert.Equal(t, string(answer.Body), "early")
-	next, err := exchange(pool, "2", time.Second)
+	next, err := exchange(pool, "2", 5*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, string(next.Body), "abc")
 }
