Contain a panic to the request, message or object that caused it

Cause: recover stood nowhere in the repository. A panic in an attempt, in the query of another VM, in a peer's message or in a listed object ended the process with all its requests; in a handler, a lock could stay locked. Change: package panics. A request that panics is answered with 500, which does not say whether it ran; an attempt counts as one that may have run; a query machine ends its own call; a peer's message closes its connection (all processes, in wire); an object that panics is unreadable. After a panic while the shared state of the decision packages was being changed (panics.Mutex notices it in its deferred Unlock), the node refuses requests, fails its readiness check, stops and says so. Each is logged with its source and stack and counted in panics_total.

--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -51,6 +52,9 @@
 		defer exitDrain()
 		defer cancel()
 		defer n.aggregated.remove(key)
+		defer n.panics.Recover("aggregate", q.RequestID, func() {
+			n.answerQuery(p, env, message.QueryAnswer{Status: http.StatusInternalServerError})
+		})
 		n.aggregate(ctx, p, env, c)
 	}()
 }
@@ -63,7 +67,7 @@
 	switch {
 	case q.Path == "":
 		return nil, "partition check only"
-	case n.drain.Draining():
+	case n.drain.Draining() || n.inDoubt.Load():
 		return nil, "stopping"
 	case n.partitioned.Load():
 		return nil, "partitioned"
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -22,7 +22,7 @@
 	}
 	decoded := decodedChanges{revision: changes.Revision, isListing: changes.IsListing}
 	for _, object := range changes.Objects {
-		decoded.events = append(decoded.events, n.store.Decode(kind, object)...)
+		decoded.events = append(decoded.events, n.decode(kind, object)...)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,15 +57,7 @@
 	n := r.node
 	a := &attempt{id: send.Attempt, service: fleet.ServiceName(send.Shard), leaf: fleet.LeafID(send.Leaf)}
 	r.attempts = append(r.attempts, a)
-	n.mu.Lock()
-	now := n.now()
-	a.startedAt = now
-	pool := n.poolFor(a.leaf)
-	usable := pool != nil && n.table.Usable(now, a.leaf)
-	if usable {
-		n.table.Begin(now, a.leaf)
-	}
-	n.mu.Unlock()
+	pool, usable := n.beginAttempt(a)
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	a.queued.Store(true)
@@ -80,7 +72,23 @@
 	go r.exchange(ctx, a, pool)
 }
 
+// beginAttempt records the start of an attempt and returns the connections to its leaf.
+// It returns false if the leaf has become unusable.
+func (n *Node) beginAttempt(a *attempt) (*leafconn.Pool, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	a.startedAt = now
+	pool := n.poolFor(a.leaf)
+	if pool == nil || !n.table.Usable(now, a.leaf) {
+		return nil, false
+	}
+	n.table.Begin(now, a.leaf)
+	return pool, true
+}
+
 func (r *run) exchange(ctx context.Context, a *attempt, pool *leafconn.Pool) {
+	defer r.recoverAttempt(a)
 	n, c := r.node, r.call
 	deadline := c.startedAt.Add(c.timeout())
 	request := c.request
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -55,6 +55,12 @@
 	if !c.route.FansOut() {
 		return delegation.VM{}, false
 	}
+	return n.nextAggregator()
+}
+
+// nextAggregator returns the aggregator for the next query, and counts the query as
+// running there.
+func (n *Node) nextAggregator() (delegation.VM, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.aggregators.Choose(n.now(), func(addr string) bool { return n.links.Get(addr) != nil })
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -87,9 +87,7 @@
 	}
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	f.node.mu.Lock()
-	f.cancel = cancel
-	f.node.mu.Unlock()
+	f.setCancel(cancel)
 	changes, err := f.fetch(callCtx, source)
 	switch {
 	case err == nil:
@@ -107,6 +105,12 @@
 	}
 }
 
+func (f *follower) setCancel(cancel context.CancelCauseFunc) {
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	f.cancel = cancel
+}
+
 // fetch lists the kind, or waits for changes after the known revision.
 func (f *follower) fetch(ctx context.Context, source feedsource.Source) (objectfeed.Changes, error) {
 	switch {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -52,11 +52,20 @@
 	}
 	startedAt := time.Now()
 	n.metrics.requests.Inc(1)
+	var info RequestInfo
+	started := &startedWriter{ResponseWriter: w}
+	w = started
+	defer n.recoverRequest(started, &info)
+	info = n.codec.ParseRequest(r.Header)
 	if n.drain.Draining() || n.selfOrAggregatorPartitioned() {
 		// The caller sends its next request to another node.
 		w.Header().Set("Connection", "close")
 	}
-	info := n.codec.ParseRequest(r.Header)
+	if n.inDoubt.Load() {
+		w.Header().Set("Connection", "close")
+		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errStateInDoubt.Error())
+		return
+	}
 	conf := n.activeConfiguration.Load()
 	if conf == nil || !n.leavesListed.Load() {
 		n.refuse(w, info, http.StatusServiceUnavailable, notSyncedRetryAfter, "no configuration or no leaves yet")
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +19,7 @@
 	"github.com/medlarswitch/medlarswitch/internal/latency"
 	"github.com/medlarswitch/medlarswitch/internal/leafconn"
 	"github.com/medlarswitch/medlarswitch/internal/lifecycle"
+	"github.com/medlarswitch/medlarswitch/internal/panics"
 	"github.com/medlarswitch/medlarswitch/internal/peerfeed"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 	"github.com/medlarswitch/medlarswitch/internal/timeline"
@@ -62,7 +62,13 @@
 	// aggregated holds the queries that run here for other VMs.
 	aggregated aggregatedRuns
 
-	mu          sync.Mutex
+	panics *panics.Recorder
+	// inDoubt is true, and doubt is closed, after a panic while the state of the
+	// decision packages was being changed.
+	inDoubt atomic.Bool
+	doubt   chan struct{}
+
+	mu          panics.Mutex
 	directory   *directory.Directory
 	table       *placement.Table
 	budgets     *extraload.Budgets
@@ -95,6 +101,9 @@
 		sources: feedsource.New(config.Source), aggregators: delegation.New(config.self()),
 		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, hedgeDelays: latency.NewShardTable(), pools: make(map[fleet.LeafID]*leafPool),
 	}
+	n.doubt = make(chan struct{})
+	n.panics = panics.NewRecorder(n.metrics.registry)
+	n.mu.OnPanic = n.markInDoubt
 	n.lifetime, n.cancel = context.WithCancel(context.Background())
 	n.gracePeriod.Store(int64(config.GracePeriod))
 	n.initPeering()
@@ -106,7 +115,7 @@
 
 // initPeering creates the client and the server for connections between VMs.
 func (n *Node) initPeering() {
-	n.hub = peerfeed.NewHub(n.now)
+	n.hub = peerfeed.NewHub(n.now, n.panics, n.markInDoubt)
 	self := wire.Hello{
 		VM: topology.VMID(n.config.VM), Boot: topology.BootID(rand.Uint64()), Zone: topology.Zone(n.config.Zone), Role: wire.RoleNode,
 	}
@@ -229,7 +238,7 @@
 // ready reports whether new callers should be sent here. A VM that is
 // partitioned, or whose aggregator is, sends its callers to VMs in other zones.
 func (n *Node) ready() bool {
-	return n.hasSynced() && !n.drain.Draining() && !n.selfOrAggregatorPartitioned()
+	return n.hasSynced() && !n.inDoubt.Load() && !n.drain.Draining() && !n.selfOrAggregatorPartitioned()
 }
 
 // selfOrAggregatorPartitioned reports whether this VM is partitioned, or the
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -68,9 +68,7 @@
 // pollAggregator asks one aggregator whether it is partitioned. If there is
 // none, this VM runs its queries itself.
 func (n *Node) pollAggregator(ctx context.Context) {
-	n.mu.Lock()
-	vm, ok := n.aggregators.Choose(n.now(), func(addr string) bool { return n.links.Get(addr) != nil })
-	n.mu.Unlock()
+	vm, ok := n.nextAggregator()
 	if !ok {
 		n.aggregatorPartitioned.Store(false)
 		return
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -183,9 +183,10 @@
 	}
 }
 
-func (r *run) step(event query.Event, freeMove bool) []query.Action {
+func (r *run) step(event query.Event, freeMove bool) (actions []query.Action) {
 	r.node.mu.Lock()
 	defer r.node.mu.Unlock()
+	defer r.recoverStep(&actions)
 	r.freeMove = freeMove
 	return r.machine.Step(r.node.now(), event, r)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,25 +59,33 @@
 	defer peerListener.Close()
 	defer n.server.Close()
 	go func() { serveErrors <- n.server.Serve(lifetime, peerListener) }()
-	n.mu.Lock()
-	n.linkPeers()
-	n.mu.Unlock()
-	for _, f := range n.followers {
-		go f.run(lifetime)
-	}
-	go n.maintainMembership(lifetime)
-	go n.exchangeFindings(lifetime)
-	go n.pollAggregators(lifetime)
-	go n.housekeep(lifetime, connections)
+	n.startDuties(lifetime, connections)
 	select {
 	case err := <-serveErrors:
 		return errors.Wrap(err, "serve")
+	case <-n.doubt:
+		n.stop(lifetime, callerServer, connections)
+		return errStateInDoubt
 	case <-ctx.Done():
 	}
 	n.stop(lifetime, callerServer, connections)
 	return nil
 }
 
+// startDuties starts the goroutines of the node that no request starts.
+func (n *Node) startDuties(ctx context.Context, connections *callerConns) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.linkPeers()
+	for _, f := range n.followers {
+		go n.runDuty("follow-"+f.kind.String(), func() { f.run(ctx) })
+	}
+	go n.runDuty("membership", func() { n.maintainMembership(ctx) })
+	go n.runDuty("findings", func() { n.exchangeFindings(ctx) })
+	go n.runDuty("poll-aggregators", func() { n.pollAggregators(ctx) })
+	go n.runDuty("housekeeping", func() { n.housekeep(ctx, connections) })
+}
+
 // stop fails the readiness check, continues to serve until the balancer has
 // noticed, and then waits for running requests.
 func (n *Node) stop(ctx context.Context, callerServer *http.Server, connections *callerConns) {
@@ -127,7 +135,7 @@
 		last = now
 		connections.closeIdle(time.Now())
 		for _, choice := range n.expire() {
-			go n.probeZone(ctx, choice)
+			go n.runDuty("probe-zone", func() { n.probeZone(ctx, choice) })
 		}
 	}
 }
--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -1,7 +1,6 @@
 package peerfeed
 
 import (
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -9,6 +8,7 @@
 	"github.com/medlarswitch/medlarswitch/internal/leafspeed"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
+	"github.com/medlarswitch/medlarswitch/internal/panics"
 	"github.com/medlarswitch/medlarswitch/internal/wire"
 )
 
@@ -29,7 +29,9 @@
 	now         func() time.Duration
 	readerSlots chan struct{}
 
-	mu sync.Mutex
+	panics *panics.Recorder
+
+	mu panics.Mutex
 	// caches holds the copy of each kind, freshness how old the copies are.
 	caches    map[Kind]*objectfeed.Cache
 	freshness *objectfeed.Freshness[Kind]
@@ -47,10 +49,11 @@
 	objects  message.PackedObjects
 }
 
-// NewHub returns a hub without copies. now returns monotonic time.
-func NewHub(now func() time.Duration) *Hub {
+// NewHub returns a hub without copies. now returns monotonic time. Panics are recorded
+// by recorder; inDoubt is called for one that may leave the copies inconsistent.
+func NewHub(now func() time.Duration, recorder *panics.Recorder, inDoubt func(value any)) *Hub {
 	return &Hub{
-		now: now, readerSlots: make(chan struct{}, maxReaders),
+		now: now, panics: recorder, mu: panics.Mutex{OnPanic: inDoubt}, readerSlots: make(chan struct{}, maxReaders),
 		caches: make(map[Kind]*objectfeed.Cache), freshness: objectfeed.NewFreshness[Kind](),
 		findings: leafspeed.NewCache(), packed: make(map[Kind]packedListing), changed: make(chan struct{}),
 	}
@@ -122,6 +125,7 @@
 	}
 	go func() {
 		defer func() { <-h.readerSlots }()
+		defer h.panics.Recover("feed-request", string(p.Remote.VM), p.Close)
 		h.reply(p, env, h.waitForChanges(p.Done(), request))
 	}()
 }
@@ -194,9 +198,7 @@
 		return answer
 	}
 	revision := answer.Changes.Revision
-	h.mu.Lock()
-	packed, ok := h.packed[kind]
-	h.mu.Unlock()
+	packed, ok := h.lastPacked(kind)
 	if !ok || packed.revision != revision {
 		objects, err := message.PackObjects(answer.Changes.Objects)
 		if err != nil {
@@ -204,14 +206,25 @@
 			return answer
 		}
 		packed = packedListing{revision, objects}
-		h.mu.Lock()
-		h.packed[kind] = packed
-		h.mu.Unlock()
+		h.keepPacked(kind, packed)
 	}
 	answer.Packed, answer.Changes.Objects = packed.objects, nil
 	return answer
 }
 
+func (h *Hub) lastPacked(kind Kind) (packedListing, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	packed, ok := h.packed[kind]
+	return packed, ok
+}
+
+func (h *Hub) keepPacked(kind Kind, packed packedListing) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.packed[kind] = packed
+}
+
 // currentAnswer returns the answer from the current copies, and a channel that
 // is closed at the next change.
 func (h *Hub) currentAnswer(r message.FeedRequest) (message.FeedAnswer, <-chan struct{}) {
--- a/internal/peerfeed/hub_test.go
+++ b/internal/peerfeed/hub_test.go
@@ -5,15 +5,17 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
+	"github.com/medlarswitch/medlarswitch/internal/panics"
 )
 
 // newTestHub returns a hub with a listing of n objects of kind 1 at revision 1.
 func newTestHub(n int) *Hub {
-	h := NewHub(func() time.Duration { return 0 })
+	h := NewHub(func() time.Duration { return 0 }, panics.NewRecorder(metrics.NewRegistry()), nil)
 	listing := objectfeed.Changes{Revision: 1, IsListing: true}
 	for i := range n {
 		listing.Objects = append(listing.Objects, objectfeed.Object{Name: fmt.Sprint("leaf-", i)})
@@ -38,7 +40,7 @@
 // Guards against a listing that is served before the hub has one, and against one
 // that lacks objects.
 func TestListing(t *testing.T) {
-	empty := NewHub(func() time.Duration { return 0 })
+	empty := NewHub(func() time.Duration { return 0 }, panics.NewRecorder(metrics.NewRegistry()), nil)
 	answer, _ := empty.currentAnswer(message.FeedRequest{Kind: 1, List: true})
 	assert.Assert(t, !answer.Ready)
 	answer, _ = newTestHub(3).currentAnswer(message.FeedRequest{Kind: 1, List: true})
@@ -66,7 +68,7 @@
 // waits for changes at one stale copy after the other.
 func TestWatchOfAStaleCopyDoesNotWait(t *testing.T) {
 	now := time.Duration(0)
-	h := NewHub(func() time.Duration { return now })
+	h := NewHub(func() time.Duration { return now }, panics.NewRecorder(metrics.NewRegistry()), nil)
 	h.ApplyFromStore(1, objectfeed.Changes{Revision: 1, IsListing: true})
 	now = 2 * time.Second
 	started := time.Now()
--- a/internal/wire/loops.go
+++ b/internal/wire/loops.go
@@ -7,6 +7,9 @@
 	"github.com/pkg/errors"
 )
 
+// errHandlerPanicked is why a connection is closed whose message caused a panic.
+var errHandlerPanicked = errors.New("a message of the peer caused a panic")
+
 // readLoop reads and delivers frames until the connection fails.
 func (p *Peer) readLoop(r *bufio.Reader) {
 	for {
@@ -20,7 +23,10 @@
 	}
 }
 
+// deliver handles a frame. A panic in its handler closes this connection, not the
+// process.
 func (p *Peer) deliver(env *Envelope) {
+	defer p.stats.panics.Recover("peer-message", string(p.Remote.VM), func() { p.closeWithError(errHandlerPanicked) })
 	switch {
 	case env.Kind == KindPing || env.Kind == KindPong || env.Kind == KindHello:
 	case env.Reply:
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/medlarswitch/medlarswitch/internal/panics"
 	"github.com/medlarswitch/medlarswitch/internal/timeline"
 )
 
@@ -18,6 +19,7 @@
 type Stats struct {
 	strayReplies metrics.Counter
 	droppedSends metrics.Counter
+	panics       *panics.Recorder
 }
 
 // NewStats registers the counters in r.
@@ -25,5 +27,6 @@
 	return &Stats{
 		strayReplies: metrics.GetOrRegisterCounter("wire.stray_replies", r),
 		droppedSends: metrics.GetOrRegisterCounter("wire.dropped_sends", r),
+		panics:       panics.NewRecorder(r),
 	}
 }
--- a/internal/wire/peer_test.go
+++ b/internal/wire/peer_test.go
@@ -176,3 +176,20 @@
 		}
 	})
 }
+
+// Guards against one message that ends the process, or that leaves its connection open
+// without a reader.
+func TestPanicInAHandlerClosesOneConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, f := connectFake(t, func(_ *Peer, env *Envelope) { panic("test") }, true)
+		other, _ := connectFake(t, nil, true)
+		f.send(&Envelope{Kind: KindFeedRequest, ID: 1})
+		<-p.Done()
+		assert.Equal(t, p.stats.panics.Count(), int64(1))
+		select {
+		case <-other.Done():
+			t.Fatal("another connection is closed")
+		default:
+		}
+	})
+}
