--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -40,3 +40,18 @@
 // FansOut reports whether requests of the route are sent to several shards and their
 // replies merged.
 func (r *Route) FansOut() bool { return len(r.Shards) > 0 }
+
+// Services returns the services that requests of the route may be sent to.
+func (r *Route) Services() []ServiceName {
+	switch {
+	case r.FansOut():
+		return r.Shards
+	case len(r.Split) == 0:
+		return []ServiceName{r.Service}
+	}
+	out := make([]ServiceName, 0, len(r.Split))
+	for _, share := range r.Split {
+		out = append(out, share.Service)
+	}
+	return out
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -164,16 +164,16 @@
 // accept applies changes. It also applies a peer's data that is too old, but
 // then this VM does not read from the peer for some time.
 func (f *follower) accept(ctx context.Context, source feedsource.Source, changes objectfeed.Changes) {
-	if f.failing {
-		klog.InfoS("Source available again", "kind", f.kind, "revision", changes.Revision, "peer", source.Peer, "age", changes.Age)
-	}
-	f.failing = false
 	f.node.apply(f.kind, source, changes)
 	f.revision, f.listed = changes.Revision, true
 	if changes.Age > feedsource.MaxAge {
 		f.markPeerStale(source, changes.Age)
 		return
 	}
+	if f.failing {
+		klog.InfoS("Source available again", "kind", f.kind, "revision", changes.Revision, "peer", source.Peer, "age", changes.Age)
+	}
+	f.failing = false
 	f.node.markSourceFresh(source)
 	if len(changes.Objects) > 0 {
 		sleep(ctx, watchDelays[f.kind])
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,9 @@
 	// those that this VM ran for others.
 	delegated, aggregated metrics.Counter
 	latency, leafLatency  metrics.Histogram
+	// degradedStates is the number of states that limit the service, degradedOldest
+	// the seconds since the first of them began.
+	degradedStates, degradedOldest metrics.Gauge
 }
 
 func newNodeMetrics(r metrics.Registry) *nodeMetrics {
@@ -46,6 +49,8 @@
 		peerCalls: counter("peer_calls_total"),
 		delegated: counter("requests_delegated_total"), aggregated: counter("requests_aggregated_total"),
 		latency: histogram("request_ms"), leafLatency: histogram("leaf_request_ms"),
+		degradedStates: metrics.NewRegisteredGauge("degraded_states", r),
+		degradedOldest: metrics.NewRegisteredGauge("degraded_oldest_seconds", r),
 	}
 }
 
@@ -57,6 +62,8 @@
 		switch v := metric.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Value()))
 		case metrics.Histogram:
 			s := v.Snapshot()
 			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/answertime"
+	"github.com/medlarswitch/medlarswitch/internal/degraded"
 	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
@@ -70,6 +71,7 @@
 
 	mu          panics.Mutex
 	directory   *directory.Directory
+	degraded    *degraded.Tracker
 	table       *placement.Table
 	budgets     *extraload.Budgets
 	splitter    *fleet.Splitter
@@ -96,7 +98,7 @@
 	n := &Node{
 		config: config, store: store, codec: codec, started: time.Now(),
 		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry()),
-		directory: directory.New(), table: placement.New(config.Placement),
+		directory: directory.New(), degraded: degraded.New(), table: placement.New(config.Placement),
 		budgets: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(), answerTimes: answertime.New(),
 		sources: feedsource.New(config.Source), aggregators: delegation.New(config.self()),
 		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, hedgeDelays: latency.NewShardTable(), pools: make(map[fleet.LeafID]*leafPool),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -29,6 +29,9 @@
 	headerTimeout = 10 * time.Second
 	// housekeepingInterval is the time between two runs of housekeeping.
 	housekeepingInterval = 200 * time.Millisecond
+	// degradedInterval is the time between two checks for states that limit the
+	// service.
+	degradedInterval = time.Second
 )
 
 // Run serves until the context is cancelled, then stops gracefully.
@@ -122,10 +125,11 @@
 }
 
 // housekeep periodically closes idle connections of callers, expires entries,
-// probes unreachable zones and logs pauses of the process.
+// probes unreachable zones, and logs pauses of the process and states that limit the
+// service.
 func (n *Node) housekeep(ctx context.Context, connections *callerConns) {
 	pauses := pause.New(housekeepingInterval, pause.DefaultTolerance)
-	last := n.now()
+	last, lastReport := n.now(), n.now()
 	for ctx.Err() == nil {
 		sleep(ctx, housekeepingInterval)
 		now := n.now()
@@ -134,6 +138,10 @@
 		}
 		last = now
 		connections.closeIdle(time.Now())
+		if now-lastReport >= degradedInterval {
+			lastReport = now
+			n.reportDegraded()
+		}
 		for _, choice := range n.expire() {
 			go n.runDuty("probe-zone", func() { n.probeZone(ctx, choice) })
 		}
--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -156,6 +156,17 @@
 	return newer
 }
 
+// Ages returns the maximum age of each copy.
+func (h *Hub) Ages() map[Kind]time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[Kind]time.Duration, len(h.caches))
+	for kind := range h.caches {
+		out[kind] = h.freshness.Age(h.now(), kind)
+	}
+	return out
+}
+
 // AddFindings adds the findings of another VM, to serve them to VMs that
 // request them.
 func (h *Hub) AddFindings(findings []leafspeed.Finding) {
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -140,6 +140,22 @@
 	return true
 }
 
+// ShardsWithoutLeaf returns the services of a configuration's routes that have no leaf
+// that can get requests.
+func (t *Table) ShardsWithoutLeaf(now time.Duration, c *fleet.Configuration) []fleet.ServiceName {
+	var out []fleet.ServiceName
+	seen := make(map[fleet.ServiceName]bool)
+	for _, r := range c.Routes {
+		for _, shard := range r.Services() {
+			if !seen[shard] && !t.reachable(now, shard) {
+				out = append(out, shard)
+			}
+			seen[shard] = true
+		}
+	}
+	return out
+}
+
 // reachable reports whether a service has a leaf that can get requests.
 func (t *Table) reachable(now time.Duration, service fleet.ServiceName) bool {
 	for _, l := range t.leavesByService[service] {
