Return faster when all VMs start at once

A small VM served from 1.3 s after its start on (42.96 to 44.29), as it needs the time to read 549 leaves, although it delegates its queries. Callers that were refused came back after 50 ms, to another VM that had just started. Change: a dial between VMs gives a host 150 ms to respond; the members are listed before the leaves, and queries are delegated before the leaves are known; a refusal states when the VM will have synced. Tests: TestSmallVMDelegatesBeforeItKnowsTheLeaves, TestCallersOfAStartingVMReturnWhenItHasSynced.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -29,6 +29,9 @@
 	// aggregatorWatchTimeout is the same at an aggregator, from which other VMs
 	// read. The age of its copies is at most this long above that of the seeds'.
 	aggregatorWatchTimeout = 250 * time.Millisecond
+	// leavesDelay is how long the first listing of the leaves waits for that of the
+	// members, which takes a few round trips at a start.
+	leavesDelay = 200 * time.Millisecond
 	// noSourceDelay is the delay before the next call while there is no source
 	// to read from.
 	noSourceDelay = 50 * time.Millisecond
@@ -73,6 +76,11 @@
 
 // run follows the kind until the context is cancelled.
 func (f *follower) run(ctx context.Context) {
+	if f.kind == directory.KindLeaves {
+		// The members name the aggregators, which can run queries before this VM knows
+		// the leaves. There are far more leaves.
+		waitClosed(ctx, f.node.membersListed, leavesDelay)
+	}
 	for ctx.Err() == nil {
 		f.poll(ctx)
 	}
@@ -243,6 +251,18 @@
 	}
 }
 
+// waitClosed waits until the channel is closed, but not longer than d or until the
+// context is cancelled.
+func waitClosed(ctx context.Context, closed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-closed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // sleep waits for d or until the context is cancelled.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// notSyncedRetryAfter is when a caller may retry after it reached a node
-	// without a configuration or leaves: another node most likely has them.
-	notSyncedRetryAfter = 50 * time.Millisecond
+	// syncTime is the time from a node's start until it has a configuration and
+	// leaves, while all nodes start at once. Otherwise the balancer sends no callers
+	// to a node that has not reported ready.
+	syncTime = 400 * time.Millisecond
+	// minSyncRetryAfter is when a caller may retry when that time has passed.
+	minSyncRetryAfter = 50 * time.Millisecond
 	// deadlineMargin is the part of the caller's time that is reserved for
 	// returning the answer.
 	deadlineMargin = 4 * time.Millisecond
@@ -67,8 +70,8 @@
 		return
 	}
 	conf := n.activeConfiguration.Load()
-	if conf == nil || !n.leavesListed.Load() {
-		n.refuse(w, info, http.StatusServiceUnavailable, notSyncedRetryAfter, "no configuration or no leaves yet")
+	if conf == nil {
+		n.refuse(w, info, http.StatusServiceUnavailable, n.syncedIn(), "no configuration yet")
 		return
 	}
 	route := conf.FindRoute(r.Host, r.URL.EscapedPath())
@@ -88,12 +91,21 @@
 	if n.delegate(w, r, c) {
 		return
 	}
+	if !n.leavesListed.Load() {
+		n.refuse(w, info, http.StatusServiceUnavailable, n.syncedIn(), "no leaves yet")
+		return
+	}
 	if !n.execute(r.Context(), w, c) {
 		// The caller has left; aborting the handler closes the connection.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// syncedIn returns when a caller may retry that reached this node before it had a
+// configuration and leaves. An earlier retry would meet another node that has just
+// started.
+func (n *Node) syncedIn() time.Duration { return max(syncTime-n.now(), minSyncRetryAfter) }
+
 // readBody reads a request's body up to a limit. net/http determines its end
 // from the request's framing.
 func readBody(r *http.Request, limit int64) ([]byte, int, error) {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,10 @@
 	// activeConfiguration is the configuration that new requests use; nil
 	// before the first one.
 	activeConfiguration atomic.Pointer[fleet.Configuration]
+	// membersListed is closed when the members have been listed. It orders the first
+	// listings.
+	membersListed     chan struct{}
+	membersListedOnce sync.Once
 	// leavesListed is true once the leaves have been listed; partitioned is
 	// true while this VM reaches no leaf of another zone and cannot meet the
 	// minimum coverage of every route with the leaves that it reaches.
@@ -107,7 +112,7 @@
 		idleLimits: make(map[fleet.ServiceName]*leafconn.IdleLimit),
 		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, hedgeDelays: latency.NewShardTable(), pools: make(map[fleet.LeafID]*leafPool),
 	}
-	n.doubt = make(chan struct{})
+	n.doubt, n.membersListed = make(chan struct{}), make(chan struct{})
 	n.panics = panics.NewRecorder(n.metrics.registry)
 	n.mu.OnPanic = n.markInDoubt
 	n.lifetime, n.cancel = context.WithCancel(context.Background())
@@ -128,6 +133,7 @@
 	options := wire.Options{Clock: timeline.NewClock(time.Now), Handler: n.handlePeer, Stats: wire.NewStats(n.metrics.registry)}
 	n.links = wire.NewLinks(self, options)
 	n.links.RedialMax = peerRedialMax
+	n.links.ConnectTimeout = leafDialTimeout
 	n.peerClient = peerfeed.NewClient(n.links)
 	n.server = wire.NewServer(self, options)
 }
@@ -208,6 +214,7 @@
 	case directory.KindEvacuations:
 		n.table.SetEvacuated(n.directory.Evacuated())
 	case directory.KindMembers:
+		n.membersListedOnce.Do(func() { close(n.membersListed) })
 		members := n.directory.Members(now)
 		if n.table.SetMembers(len(members)) {
 			n.limitPools()
--- a/internal/wire/links.go
+++ b/internal/wire/links.go
@@ -31,6 +31,9 @@
 	OnPeer func(*Peer)
 	// RedialMax, if set, replaces redialMax, the longest backoff between dials.
 	RedialMax time.Duration
+	// ConnectTimeout, if set, limits the wait for a host that does not respond. A host
+	// that is starting responds to the next dial before it would to this one.
+	ConnectTimeout time.Duration
 
 	mu    sync.Mutex
 	links map[string]*managedLink
@@ -141,7 +144,7 @@
 func (l *Links) dial(ctx context.Context, addr string) (*Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{Timeout: l.ConnectTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
