--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -150,7 +150,7 @@
 func (f *follower) fetchFromPeer(ctx context.Context, source feedsource.Source) (objectfeed.Changes, error) {
 	f.node.metrics.peerCalls.Inc(1)
 	wait := peerWatchTimeout
-	if f.node.isAggregator.Load() {
+	if f.node.servesOthers() {
 		wait = aggregatorWatchTimeout
 	}
 	answer, err := f.node.peerClient.FetchChanges(ctx, source.Peer, message.FeedRequest{
@@ -184,10 +184,28 @@
 	f.failing = false
 	f.node.markSourceFresh(source)
 	if len(changes.Objects) > 0 {
-		sleep(ctx, watchDelays[f.kind])
+		sleep(ctx, f.watchDelay(source))
 	}
 }
 
+// watchDelay returns the delay before the next watch after one that returned changes. A
+// copy that was read from another VM ages in the meantime; VMs that read from this one
+// must not find it too old.
+func (f *follower) watchDelay(source feedsource.Source) time.Duration {
+	delay := watchDelays[f.kind]
+	if !source.IsStore() && f.node.servesOthers() {
+		return min(delay, aggregatorWatchTimeout)
+	}
+	return delay
+}
+
+// servesOthers reports whether other VMs read from this one.
+func (n *Node) servesOthers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isAggregator.Load() || n.sources.IsSeed()
+}
+
 // markPeerStale keeps this VM from reading from a peer for some time, as its
 // data is too old.
 func (f *follower) markPeerStale(source feedsource.Source, age time.Duration) {
