--- a/internal/leafconn/hostile_leaf_test.go
+++ b/internal/leafconn/hostile_leaf_test.go
@@ -176,3 +176,36 @@
 		})
 	}
 }
+
+// Guards against a head or body without end that is read until the deadline. Only the
+// limit ends these replies before it.
+func TestReplyEndsAtItsLimit(t *testing.T) {
+	long := strings.Repeat("x", 32<<10)
+	for name, row := range map[string]struct{ first, repeat string }{
+		"status line":           {"HTTP/1.1 200 ", long},
+		"header line":           {"HTTP/1.1 200 OK\r\nA: ", long},
+		"header lines":          {"HTTP/1.1 200 OK\r\n", "A: " + long + "\r\n"},
+		"body without a length": {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", long},
+		"chunks":                {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "8000\r\n" + long + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			pool, _ := fakeLeaf(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				read(r)
+				_, err := io.WriteString(c, row.first)
+				for err == nil {
+					var n int
+					n, err = io.WriteString(c, row.repeat)
+					sent.Add(int64(n))
+				}
+			})
+			const timeout = 30 * time.Second
+			start := time.Now()
+			_, err := exchange(pool, "1", timeout)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, time.Since(start) < timeout/2, "took %v", time.Since(start))
+			// What the limit allows, and the socket buffers.
+			assert.Assert(t, sent.Load() < maxFramedBodyBytes+16<<20, "%d bytes sent", sent.Load())
+		})
+	}
+}
