Pack large changes for other VMs, not only listings

Change: objects of more than 4 KiB in one answer are packed, once for all readers that wait for the same ones. Test: TestLargeAnswersArePacked.

--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -36,16 +36,21 @@
 	caches    map[Kind]*objectfeed.Cache
 	freshness *objectfeed.Freshness[Kind]
 	findings  *leafspeed.Cache
-	// packed holds the last listing of each kind that was packed.
-	packed map[Kind]packedListing
+	// packed holds the objects of each kind that were packed last.
+	packed map[Kind]packedObjects
 	// changed is closed and replaced at each change of a copy.
 	changed chan struct{}
 }
 
-// packedListing is a listing at a revision. VMs that start at the same time list the
-// same revision, which is packed once.
-type packedListing struct {
-	revision uint64
+// minPackedBytes is the size from which objects are packed.
+const minPackedBytes = 4 << 10
+
+// packedObjects are the packed objects of a listing, or of the changes after a revision.
+// Many VMs request the same ones: those that start at the same time, and those that wait
+// for a change of the configuration, which is one large object.
+type packedObjects struct {
+	listing  bool
+	from, to uint64
 	objects  message.PackedObjects
 }
 
@@ -55,7 +60,7 @@
 	return &Hub{
 		now: now, panics: recorder, mu: panics.Mutex{OnPanic: inDoubt}, readerSlots: make(chan struct{}, maxReaders),
 		caches: make(map[Kind]*objectfeed.Cache), freshness: objectfeed.NewFreshness[Kind](),
-		findings: leafspeed.NewCache(), packed: make(map[Kind]packedListing), changed: make(chan struct{}),
+		findings: leafspeed.NewCache(), packed: make(map[Kind]packedObjects), changed: make(chan struct{}),
 	}
 }
 
@@ -191,7 +196,7 @@
 		answer, changed := h.currentAnswer(r)
 		tooOld := r.MaxAge > 0 && answer.Changes.Age > r.MaxAge
 		if !answer.Ready || answer.HistoryGone || r.List || len(answer.Changes.Objects) > 0 || tooOld || expired {
-			return h.pack(Kind(r.Kind), answer)
+			return h.pack(r, answer)
 		}
 		select {
 		case <-changed:
@@ -203,34 +208,45 @@
 	}
 }
 
-// pack compresses the objects of a listing.
-func (h *Hub) pack(kind Kind, answer message.FeedAnswer) message.FeedAnswer {
-	if !answer.Ready || !answer.Changes.IsListing {
+// pack compresses the objects of an answer if they are large.
+func (h *Hub) pack(r message.FeedRequest, answer message.FeedAnswer) message.FeedAnswer {
+	size := 0
+	for _, o := range answer.Changes.Objects {
+		size += len(o.Text)
+	}
+	if size < minPackedBytes {
 		return answer
 	}
-	revision := answer.Changes.Revision
-	packed, ok := h.lastPacked(kind)
-	if !ok || packed.revision != revision {
-		objects, err := message.PackObjects(answer.Changes.Objects)
-		if err != nil {
-			klog.ErrorS(err, "Failed to pack a listing, sending it as it is", "kind", kind, "revision", revision)
+	kind := Kind(r.Kind)
+	key := packedObjects{listing: answer.Changes.IsListing, to: answer.Changes.Revision}
+	if !key.listing {
+		key.from = r.From
+	}
+	objects, ok := h.lastPacked(kind, key)
+	if !ok {
+		var err error
+		if objects, err = message.PackObjects(answer.Changes.Objects); err != nil {
+			klog.ErrorS(err, "Failed to pack objects, sending them as they are", "kind", kind, "revision", key.to)
 			return answer
 		}
-		packed = packedListing{revision, objects}
-		h.keepPacked(kind, packed)
+		key.objects = objects
+		h.keepPacked(kind, key)
 	}
-	answer.Packed, answer.Changes.Objects = packed.objects, nil
+	answer.Packed, answer.Changes.Objects = objects, nil
 	return answer
 }
 
-func (h *Hub) lastPacked(kind Kind) (packedListing, bool) {
+// lastPacked returns the objects that were packed last for a kind if they are those of
+// the key.
+func (h *Hub) lastPacked(kind Kind, key packedObjects) (message.PackedObjects, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	packed, ok := h.packed[kind]
-	return packed, ok
+	last := h.packed[kind]
+	same := last.objects != nil && last.listing == key.listing && last.from == key.from && last.to == key.to
+	return last.objects, same
 }
 
-func (h *Hub) keepPacked(kind Kind, packed packedListing) {
+func (h *Hub) keepPacked(kind Kind, packed packedObjects) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.packed[kind] = packed
--- a/internal/peerfeed/hub_test.go
+++ b/internal/peerfeed/hub_test.go
@@ -1,6 +1,7 @@
 package peerfeed
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -48,20 +49,50 @@
 	assert.Equal(t, len(answer.Changes.Objects), 3)
 }
 
-// Guards against a reader that gets a listing without its objects or twice.
-func TestListingIsPackedOnce(t *testing.T) {
-	h := newTestHub(3)
-	for range 2 {
-		answer := h.waitForChanges(nil, message.FeedRequest{Kind: 1, List: true})
-		assert.Equal(t, len(answer.Changes.Objects), 0)
-		objects, err := answer.Packed.Unpack()
-		assert.NilError(t, err)
-		assert.Equal(t, len(objects), 3)
+// objectsOf returns the objects of an answer, packed or not.
+func objectsOf(t *testing.T, answer message.FeedAnswer) []objectfeed.Object {
+	t.Helper()
+	if answer.Packed == nil {
+		return answer.Changes.Objects
 	}
-	h.ApplyFromStore(1, objectfeed.Changes{Revision: 2, Objects: []objectfeed.Object{{Name: "leaf-3"}}})
-	objects, err := h.waitForChanges(nil, message.FeedRequest{Kind: 1, List: true}).Packed.Unpack()
+	assert.Equal(t, len(answer.Changes.Objects), 0)
+	objects, err := answer.Packed.Unpack()
 	assert.NilError(t, err)
-	assert.Equal(t, len(objects), 4)
+	return objects
+}
+
+// Load pattern: the configuration, one object of 100 kB, changes, and sixty VMs of the
+// zone wait for it; a hundred VMs start and list all leaves. Guards against an aggregator
+// that sends megabytes at once and lets its queries wait, and against a reader that gets
+// the objects of another request.
+func TestLargeAnswersArePacked(t *testing.T) {
+	h := newTestHub(0)
+	text := bytes.Repeat([]byte("service"), minPackedBytes)
+	put := func(revision uint64, text []byte) {
+		h.ApplyFromStore(1, objectfeed.Changes{Revision: revision, Objects: []objectfeed.Object{{Name: fmt.Sprint("o-", revision), Text: text}}})
+	}
+	put(2, text)
+	put(3, text)
+	for _, row := range []struct {
+		name    string
+		request message.FeedRequest
+		want    int
+	}{
+		{"listing", message.FeedRequest{Kind: 1, List: true}, 2},
+		{"the same listing", message.FeedRequest{Kind: 1, List: true}, 2},
+		{"one change", message.FeedRequest{Kind: 1, From: 2}, 1},
+		{"the same change", message.FeedRequest{Kind: 1, From: 2}, 1},
+		{"two changes", message.FeedRequest{Kind: 1, From: 1}, 2},
+	} {
+		answer := h.waitForChanges(nil, row.request)
+		assert.Assert(t, len(answer.Packed) > 0 && len(answer.Packed) < len(text)/4, row.name)
+		assert.Equal(t, len(objectsOf(t, answer)), row.want, row.name)
+	}
+	put(4, []byte("small"))
+	answer := h.waitForChanges(nil, message.FeedRequest{Kind: 1, From: 3})
+	assert.Assert(t, answer.Packed == nil)
+	assert.Equal(t, len(objectsOf(t, answer)), 1)
+	assert.Equal(t, len(objectsOf(t, h.waitForChanges(nil, message.FeedRequest{Kind: 1, List: true}))), 3)
 }
 
 // Load pattern: all seeds are partitioned from the store. Guards against a reader that
