--- a/internal/delegation/chooser.go
+++ b/internal/delegation/chooser.go
@@ -101,7 +101,7 @@
 //
 // The first aggregator that is not busy gets the query. Leaves close idle connections
 // after about a second; queries that are spread over all aggregators find theirs closed,
-// and opening them takes a round trip and half of the CPU time of the query.
+// and opening one takes a round trip, the leaf's handshake and CPU time.
 func (c *Chooser) Choose(now time.Duration, connected func(addr string) bool) (VM, bool) {
 	best, fewest := -1, 0
 	for i, vm := range c.aggregators {
--- a/internal/message/feed.go
+++ b/internal/message/feed.go
@@ -28,6 +28,6 @@
 	// that the reader must list again.
 	HistoryGone bool               `msgpack:"g,omitempty"`
 	Changes     objectfeed.Changes `msgpack:"c"`
-	// Packed holds the objects of a listing instead of Changes.Objects.
+	// Packed holds the objects instead of Changes.Objects if they are large.
 	Packed PackedObjects `msgpack:"z,omitempty"`
 }
--- a/internal/peerfeed/client.go
+++ b/internal/peerfeed/client.go
@@ -56,7 +56,7 @@
 	}
 	answer.Changes.Objects, err = answer.Packed.Unpack()
 	answer.Packed = nil
-	return answer, errors.Wrapf(err, "listing of the VM at %s", addr)
+	return answer, errors.Wrapf(err, "objects of the VM at %s", addr)
 }
 
 // Query delegates a query to the VM at an address. The context limits the wait.
