--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,5 +5,13 @@
 dir=$(cd "$(dirname "$0")" && pwd) || exit 2
 case=$(basename "$dir")
 cd "$dir/../.." || exit 2
-[ -x target/medlar-node ] && [ -x "review/bin/case-$case" ] || { echo "not built" >&2; exit 2; }
-exec timeout -k 2 110 "review/bin/case-$case" "review/$case"
+if [ ! -x target/medlar-node ] || [ ! -x "review/bin/case-$case" ]; then
+	echo "not built: run the build of deploy/system.toml and review/build.sh" >&2
+	exit 2
+fi
+timeout -k 2 110 "review/bin/case-$case" "review/$case"
+result=$?
+case $result in
+0 | 1) exit $result ;;
+esac
+exit 2
