--- a/review/1/main.go
+++ b/review/1/main.go
@@ -45,10 +45,10 @@
 		if err != nil {
 			return err
 		}
-		r.Store.Put("servers", l.id, rig.Entry("maestros", "sur-valdivia", l.listener.Addr().String()))
+		r.Store.Put("servers", l.id, rig.Entry("shop-portal", "colombo", l.listener.Addr().String()))
 	}
-	r.Configure(1, []string{"maestros"}, rig.Route("roster", "/timi402/", "non_idempotent", "maestros"))
-	node, err := r.Start("edge-1", "sur-valdivia")
+	r.Configure(1, []string{"shop-portal"}, rig.Route("order-status", "/timi402/", "non_idempotent", "shop-portal"))
+	node, err := r.Start("edge-1", "colombo")
 	if err != nil {
 		return err
 	}
@@ -66,7 +66,7 @@
 
 // send sends one request and checks its answer.
 func send(r *rig.Rig, node *rig.Node, id string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.Callers+"/timi402/2f", bytes.NewReader(make([]byte, requestBytes)))
 	if err != nil {
@@ -74,7 +74,7 @@
 	}
 	request.Host = rig.Host
 	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "4000")
+	request.Header.Set("X-Deadline-Ms", "6000")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		r.Logf("client %s: %v", id, err)
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -77,9 +77,7 @@
 			return err
 		}
 	}
-	route := rig.Route("order-status", "/timi402/", "non_idempotent", "shop-portal")
-	route["timeout_ms"] = 6000
-	r.Configure(1, []string{"shop-portal"}, route)
+	r.Configure(1, []string{"shop-portal"}, rig.Route("order-status", "/timi402/", "non_idempotent", "shop-portal"))
 	first, err := r.Start("edge-1", "colombo")
 	if err != nil {
 		return err
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -80,9 +80,9 @@
 // maxSeeds is the greatest number of seeds that the platform names.
 const maxSeeds = 3
 
-// New returns a rig for a number of nodes that records into record.txt in a folder.
-func New(folder string, nodes int) (*Rig, error) {
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+// New returns a rig for a number of nodes that records into a file.
+func New(recordPath string, nodes int) (*Rig, error) {
+	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +118,7 @@
 	var list []map[string]any
 	for _, name := range services {
 		list = append(list, map[string]any{
-			"name": name, "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0,
+			"name": name, "health_path": "/healthz", "max_conns": 36, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0,
 		})
 	}
 	r.Store.Put("config", "main", map[string]any{
@@ -130,7 +130,7 @@
 // Route returns a route to one service.
 func Route(name, prefix, kind, service string) map[string]any {
 	return map[string]any{
-		"name": name, "host": Host, "path_prefix": prefix, "kind": kind, "timeout_ms": 4000,
+		"name": name, "host": Host, "path_prefix": prefix, "kind": kind, "timeout_ms": 6000,
 		"target_latency_ms": 400, "priority": 2, "service": service, "attempts": 2,
 	}
 }
