--- a/review/rig2/case_restart.go
+++ b/review/rig2/case_restart.go
@@ -32,6 +32,8 @@
 	warmUp     = 3 * time.Second
 	coldFactor = 1.5
 	coldSlack  = 5
+	// crashFactor times the bound is the rate at which a cold leaf crashes.
+	crashFactor = 2
 )
 
 // shard is a service with two leaves, under load from 9 VMs.
@@ -44,12 +46,12 @@
 
 	mu sync.Mutex
 	// startedAt is when each leaf started again.
-	startedAt map[string]time.Time
+	startedAt map[string][]time.Time
 }
 
 func newShard(r *rig, conf config, perSecond float64) (*shard, error) {
 	r.store.inner.Put("config", "main", conf)
-	s := &shard{rig: r, callers: newCaller(r), startedAt: make(map[string]time.Time)}
+	s := &shard{rig: r, callers: newCaller(r), startedAt: make(map[string][]time.Time)}
 	for i := range 2 {
 		s.leaves = append(s.leaves, r.addLeaf(fmt.Sprintf("i-roster-%d", i), rosterName, zones[i], standin.Behaviour{Body: []byte("bench 4"), Delay: 5 * time.Millisecond}))
 	}
@@ -69,21 +71,51 @@
 // entryDelay after that.
 func (s *shard) restart(coldFor time.Duration) {
 	for _, leaf := range s.leaves {
-		s.rig.log("leaf %s crashes", leaf.ID)
-		leaf.Crash(&standin.Crash{DownFor: crashedFor, OnRestart: func(entry map[string]any) {
+		var load overload
+		crash := &standin.Crash{DownFor: crashedFor, Matches: func(*http.Request) bool { return load.add(time.Now()) }}
+		crash.OnRestart = func(entry map[string]any) {
 			started := time.Now()
 			s.rig.note(started, "leaf %s has started again, born %v", leaf.ID, entry["born"])
+			load.begin(started.Add(coldFor))
 			s.mu.Lock()
-			s.startedAt[leaf.ID] = started
+			s.startedAt[leaf.ID] = append(s.startedAt[leaf.ID], started)
 			s.mu.Unlock()
 			time.Sleep(entryDelay)
 			entry["warmup_left_ms"] = max(coldFor-entryDelay, 0).Milliseconds()
 			s.rig.note(time.Now(), "leaf %s writes its entry", leaf.ID)
 			s.rig.store.inner.Put("servers", leaf.ID, entry)
-		}})
+		}
+		leaf.SetCrash(crash)
+		s.rig.log("leaf %s crashes", leaf.ID)
+		leaf.Crash(crash)
 	}
 }
 
+// overload finds the load at which a cold leaf crashes.
+type overload struct {
+	mu    sync.Mutex
+	until time.Time
+	times []time.Time
+}
+
+// begin begins a time in which the leaf is cold.
+func (o *overload) begin(until time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.until, o.times = until, nil
+}
+
+// add counts a request, and reports whether the leaf crashes.
+func (o *overload) add(at time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !at.Before(o.until) {
+		return false
+	}
+	o.times = append(o.times, at)
+	return float64(mostWithin(o.times, time.Second)) > crashFactor*(coldFactor*warmUpRate+coldSlack)
+}
+
 func (s *shard) end() {
 	s.stop()
 	s.load.Wait()
@@ -184,17 +216,15 @@
 	var broken []string
 	for _, leaf := range s.leaves {
 		s.mu.Lock()
-		started, ok := s.startedAt[leaf.ID]
+		starts := s.startedAt[leaf.ID]
 		s.mu.Unlock()
-		if !ok {
-			continue
-		}
 		var cold []time.Time
 		for _, a := range s.arrivals(leaf) {
-			if a.At.After(started) && a.At.Before(started.Add(warmUp)) {
+			if slices.ContainsFunc(starts, func(start time.Time) bool { return a.At.After(start) && a.At.Before(start.Add(warmUp)) }) {
 				cold = append(cold, a.At)
 			}
 		}
+		s.rig.log("leaf %s crashed %d times", leaf.ID, len(leaf.Crashes()))
 		most := mostWithin(cold, time.Second)
 		r.log("leaf %s: at most %d arrivals in one second while cold, %.0f are allowed", leaf.ID, most, allowed)
 		if float64(most) > allowed {
