--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by name. A case returns what breaks the rule, or "" if it held.
 var cases = map[string]func(r *rig) (broken string, err error){
 	"endless-heads":     endlessHeads,
+	"large-release":     largeRelease,
 	"request-target":    requestTarget,
 	"seeds-removed":     seedsRemoved,
 	"numbered-attempts": numberedAttempts,
