--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -84,3 +84,6 @@
 	_ = p.Signal(syscall.SIGKILL)
 	<-p.done
 }
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
