Bound the memory of all requests of callers

What callers saw: a VM ended for lack of memory, and their requests with it, while other callers sent requests of legal size.

Cause: each request was within its limits, but nothing bounded their sum. A head was limited to 64 KB and a body to max_body_bytes, for each of any number of connections; a head of short lines took 16 times its bytes once it was parsed and 33 times with its copies for one leaf (peak memory of the rows below), and io.ReadAll keeps two buffers of a body.

Change: package intake decides what callers may take. Each connection has 12 KB, more than ordinary requests need, and beyond that all share an eighth of the VM's memory. The connection takes the memory of a head while it arrives, the handler that of the parsed head and of the body's buffer before it grows. What does not fit is refused with 503 before it has run; requests that have not arrived as a whole for a second make room. The memory of the VM comes from the settings (memory_mb, 184 if absent), and three quarters of it is the soft limit of the Go runtime, so that garbage does not double what is in use. bodyread is the reader that leafconn had; it returned a body of one byte more than the limit if its end came with the last bytes, which its new test found.

Evidence: test/callers, crowds of 250 callers and a VM of 64 MB.

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 
 	"k8s.io/klog/v2"
 
@@ -38,6 +39,7 @@
   extra_window = "10s"           # length of the windows
   cold_factor = 1.5              # bound of a cold leaf, times its stated rate
   cold_slack = 5                 # and besides
+  memory_mb = 284                # memory that the process may take; 184 if absent
   log_verbosity = 0`
 
 const settingsHelp = `
@@ -64,6 +66,7 @@
 }
 
 func run(ctx context.Context, path string, cfg settings.Node) error {
+	limitHeap(cfg.Memory)
 	node := gateway.New(gatewayConfig(cfg), platform.NewStore(cfg.Store), platform.Codec{})
 	lifecycle.OnReload(ctx, path, func() { reload(node, path) })
 	return node.Run(ctx)
@@ -77,9 +80,18 @@
 		klog.ErrorS(err, "The changed settings are not valid, keeping the previous ones")
 		return
 	}
+	limitHeap(cfg.Memory)
 	node.Reload(gatewayConfig(cfg))
 }
 
+// heapPart is the part of the memory that the Go runtime may take; the rest is for the program's
+// text and for buffers of the system.
+const heapPart = 0.75
+
+// limitHeap makes the garbage collector run more often when the memory would not suffice
+// otherwise.
+func limitHeap(memory int64) { debug.SetMemoryLimit(int64(heapPart * float64(memory))) }
+
 func gatewayConfig(cfg settings.Node) gateway.Config {
 	return gateway.Config{
 		VM: cfg.VM, Zone: cfg.Zone, Cores: cfg.CPUShare * cfg.CPUSpeed, CallerAddress: cfg.Callers, ReadyAddress: cfg.Ready, AdminAddress: cfg.Admin, ReadyPath: platform.ReadyPath,
@@ -87,6 +99,6 @@
 		Source:      feedsource.Config{Self: cfg.Peers, Seeds: cfg.Seeds, FirstStart: cfg.FirstStart},
 		ExtraLoad:   extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack, Window: cfg.ExtraWindow, StartFull: cfg.FirstStart},
 		Placement:   placement.Config{ColdFactor: cfg.ColdFactor, ColdSlack: cfg.ColdSlack},
-		GracePeriod: cfg.Grace,
+		GracePeriod: cfg.Grace, Memory: cfg.Memory,
 	}
 }
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/medlarswitch/medlarswitch/internal/intake"
 )
 
 const (
@@ -20,47 +23,158 @@
 	// connections, so that a request that is sent within the timeout does not
 	// race with the close.
 	idleTimeoutMargin = 2 * time.Second
+	// lingerTime is how long a connection stays open for the rest of a request that was refused
+	// before its end. A close with unread bytes could take the answer from the caller.
+	lingerTime = 250 * time.Millisecond
+	// lingerBytes limits what is read of that rest.
+	lingerBytes = 256 << 10
 )
 
-// callerConns closes callers' connections that are idle for longer than the
-// configuration allows, and notifies the callers of idle ones at a stop. The
-// limit may change while a connection is open. It is safe for concurrent use.
+// callerConns holds the connections of callers and what they take. It closes those that are idle
+// for longer than the configuration allows, and notifies the callers of idle ones at a stop. The
+// limits may change while a connection is open. It is safe for concurrent use. Its methods must
+// not be called while the state of a connection is locked.
 type callerConns struct {
 	node *Node
 	// listener accepts the connections. It does not change once the node serves.
 	listener net.Listener
 	mu       sync.Mutex
-	conns    map[net.Conn]*callerConn
+	table    *intake.Table
+	conns    map[intake.ID]*callerConn
+	lastID   intake.ID
 }
 
-func newCallerConns(n *Node) *callerConns {
-	return &callerConns{node: n, conns: make(map[net.Conn]*callerConn)}
+func newCallerConns(n *Node, limits intake.Config) *callerConns {
+	return &callerConns{node: n, table: intake.New(limits), conns: make(map[intake.ID]*callerConn)}
 }
 
-// connContext adds a connection and stores it in the context of its requests.
-func (c *callerConns) connContext(ctx context.Context, conn net.Conn) context.Context {
+// setLimits changes the limits of what callers may take.
+func (c *callerConns) setLimits(limits intake.Config) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	tracked := &callerConn{Conn: conn}
-	c.conns[conn] = tracked
-	return context.WithValue(ctx, callerConnKey{}, tracked)
+	c.table.SetConfig(limits)
 }
 
-// connState handles a change of the state of a connection.
-func (c *callerConns) connState(conn net.Conn, state http.ConnState) {
+// accept adds a connection.
+func (c *callerConns) accept(raw *net.TCPConn) *callerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastID++
+	conn := &callerConn{TCPConn: raw, id: c.lastID, callers: c}
+	c.table.Connect(c.node.now(), conn.id)
+	c.conns[conn.id] = conn
+	return conn
+}
+
+// refusalHeader returns the headers of a refusal that names no request. Another VM may have room.
+func (c *callerConns) refusalHeader() http.Header {
+	header := make(http.Header)
+	c.node.codec.SetRefusalHeader(header, "", otherVMRetryAfter)
+	return header
+}
+
+// take sets the memory that a caller takes and returns true, or returns false if there is none.
+func (c *callerConns) take(id intake.ID, memory int64) bool {
+	c.mu.Lock()
+	evicted, ok := c.table.Take(c.node.now(), id, memory)
+	c.mu.Unlock()
+	c.evict(evicted)
+	return ok
+}
+
+// evict ends requests that have not arrived as a whole and idle connections.
+func (c *callerConns) evict(ids []intake.ID) {
+	for _, id := range ids {
+		c.mu.Lock()
+		conn := c.conns[id]
+		c.mu.Unlock()
+		if conn == nil {
+			continue
+		}
+		c.node.metrics.callersEvicted.Inc(1)
+		klog.InfoS("Closing a connection to make room for other callers", "caller", conn.RemoteAddr())
+		// A caller that does not read must not delay the others.
+		go conn.evict()
+	}
+}
+
+// send records that a part of a request has arrived, run that all of it has.
+func (c *callerConns) send(id intake.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Send(c.node.now(), id)
+}
+
+func (c *callerConns) run(id intake.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Run(c.node.now(), id)
+}
+
+// refuseHead refuses a request before its head has arrived as a whole.
+func (c *callerConns) refuseHead(conn *callerConn) {
+	c.node.metrics.callersRefused.Inc(1)
+	klog.ErrorS(nil, "Refused the head of a request", "caller", conn.RemoteAddr(), "why", "the requests of callers take too much memory")
+	c.notify(conn, http.StatusServiceUnavailable)
+	if err := conn.CloseWrite(); err != nil {
+		return
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+		return
+	}
+	// An error ends the wait, too.
+	_, _ = io.CopyN(io.Discard, conn.TCPConn, lingerBytes)
+}
+
+// notify answers the caller of a connection without a running request that it will be closed.
+func (c *callerConns) notify(conn *callerConn, status int) {
+	if err := conn.sendClose(status, c.refusalHeader()); err != nil {
+		klog.InfoS("Failed to notify a caller of the close", "caller", conn.RemoteAddr(), "err", err)
+	}
+}
+
+// connContext stores a connection in the context of its requests.
+func (c *callerConns) connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// connState handles a change of the state of a connection.
+func (c *callerConns) connState(raw net.Conn, state http.ConnState) {
+	conn := raw.(*callerConn)
 	switch state {
 	case http.StateIdle:
-		if tracked := c.conns[conn]; tracked != nil {
-			tracked.markIdle(time.Now())
+		buffered := conn.markIdle(time.Now())
+		c.rest(conn.id)
+		if !c.take(conn.id, buffered) {
+			c.refuseHead(conn)
+			conn.closeUnlessBusy()
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(c.conns, conn)
+		c.remove(conn.id)
 	case http.StateNew, http.StateActive:
 	}
 }
 
+func (c *callerConns) rest(id intake.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Rest(c.node.now(), id)
+}
+
+func (c *callerConns) remove(id intake.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Remove(id)
+	delete(c.conns, id)
+}
+
+// taken returns the shared memory that callers take, in bytes.
+func (c *callerConns) taken() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Taken()
+}
+
 // closeIdle closes the connections whose idle timeout has expired.
 func (c *callerConns) closeIdle(now time.Time) {
 	conf := c.node.activeConfiguration.Load()
@@ -68,8 +182,10 @@
 		return
 	}
 	since := now.Add(-conf.Limits.IdleTimeout - idleTimeoutMargin)
-	for _, tracked := range c.idleSince(since) {
-		tracked.closeIdle(since)
+	for _, conn := range c.all() {
+		if conn.isIdleSince(since) {
+			conn.closeIdle(since)
+		}
 	}
 }
 
@@ -86,14 +202,8 @@
 func (c *callerConns) closeAllIdle() {
 	// A caller that does not read must not delay the others.
 	var notified sync.WaitGroup
-	for _, tracked := range c.all() {
-		notified.Go(func() {
-			header := make(http.Header)
-			c.node.codec.SetRefusalHeader(header, "", otherVMRetryAfter)
-			if err := tracked.sendClose(header); err != nil {
-				klog.InfoS("Failed to notify a caller of the stop", "caller", tracked.RemoteAddr(), "err", err)
-			}
-		})
+	for _, conn := range c.all() {
+		notified.Go(func() { c.notify(conn, http.StatusRequestTimeout) })
 	}
 	notified.Wait()
 }
@@ -104,16 +214,3 @@
 	defer c.mu.Unlock()
 	return slices.Collect(maps.Values(c.conns))
 }
-
-// idleSince returns the connections that have been idle since a time or longer.
-func (c *callerConns) idleSince(since time.Time) []*callerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []*callerConn
-	for _, tracked := range c.conns {
-		if tracked.isIdleSince(since) {
-			out = append(out, tracked)
-		}
-	}
-	return out
-}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/medlarswitch/medlarswitch/internal/delegation"
 	"github.com/medlarswitch/medlarswitch/internal/extraload"
 	"github.com/medlarswitch/medlarswitch/internal/feedsource"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/intake"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
@@ -26,10 +28,18 @@
 	Source      feedsource.Config
 	ExtraLoad   extraload.Config
 	Placement   placement.Config
+	// Memory is the memory that the process may use, in bytes; 0 means that of the smallest
+	// VM.
+	Memory int64
 	// GracePeriod is the time from the stop signal to the kill.
 	GracePeriod time.Duration
 }
 
+// intakeLimits returns the limits of what callers may take.
+func (c *Config) intakeLimits() intake.Config {
+	return intake.ConfigFor(cmp.Or(c.Memory, intake.DefaultMemory))
+}
+
 // self returns this VM as other VMs see it.
 func (c *Config) self() delegation.VM {
 	return delegation.VM{Name: c.VM, Zone: fleet.Zone(c.Zone), Address: c.PeerAddress, Cores: c.Cores}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -1,13 +1,9 @@
 package gateway
 
 import (
-	"context"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
@@ -25,9 +21,6 @@
 	// deadlineMargin is the part of the caller's time that is reserved for
 	// returning the answer.
 	deadlineMargin = 4 * time.Millisecond
-	// maxBodyBytes limits the body of a request where the configuration sets no
-	// limit.
-	maxBodyBytes = 1 << 20
 )
 
 // call is one request of a caller.
@@ -69,6 +62,10 @@
 		// The caller sends its next request to another node.
 		w.Header().Set("Connection", "close")
 	}
+	if conn := callerConnOf(r.Context()); conn != nil && !conn.takeHead(r) {
+		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errNoCallerMemory.Error())
+		return
+	}
 	if n.inDoubt.Load() {
 		w.Header().Set("Connection", "close")
 		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errStateInDoubt.Error())
@@ -85,9 +82,10 @@
 		return
 	}
 	c := &call{info: info, conf: conf, route: route, startedAt: startedAt, path: r.URL.EscapedPath()}
-	body, status, err := n.readBodyBy(w, r, conf.Limits.MaxBodyBytes, startedAt.Add(c.timeout()))
-	if err != nil {
-		n.refuse(w, info, status, 0, err.Error())
+	body, failure := n.readBody(w, r, conf.Limits.MaxBodyBytes, startedAt.Add(c.timeout()))
+	if failure != nil {
+		w.Header().Set("Connection", "close")
+		n.refuse(w, info, failure.status, failure.retryAfter, failure.Error())
 		return
 	}
 	c.request = leafconn.Request{
@@ -120,61 +118,6 @@
 // started.
 func (n *Node) syncedIn() time.Duration { return max(syncTime-n.now(), minSyncRetryAfter) }
 
-// readBodyBy reads a request's body up to a limit and a time, or the end of a stop. A caller
-// that sends the body too slowly gets a 408, and its connection is closed.
-func (n *Node) readBodyBy(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, int, error) {
-	if r.ContentLength == 0 {
-		return nil, 0, nil
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(deadline); err != nil {
-		return nil, http.StatusInternalServerError, errors.Wrap(err, "limit the time to read the body")
-	}
-	interrupted := make(chan struct{})
-	resume := context.AfterFunc(n.stopping.ended, func() {
-		defer close(interrupted)
-		// An error means that the connection is closed, which ends the read too.
-		_ = control.SetReadDeadline(time.Now())
-	})
-	body, status, err := readBody(r, limit)
-	if !resume() {
-		<-interrupted
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		w.Header().Set("Connection", "close")
-		return nil, http.StatusRequestTimeout, errors.New("the body did not arrive in the request's time")
-	}
-	if err != nil {
-		return nil, status, err
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, http.StatusInternalServerError, errors.Wrap(err, "end the limit of the time to read the body")
-	}
-	return body, 0, nil
-}
-
-// readBody reads a request's body up to a limit. net/http determines its end
-// from the request's framing.
-func readBody(r *http.Request, limit int64) ([]byte, int, error) {
-	if r.ContentLength == 0 {
-		return nil, 0, nil
-	}
-	if limit <= 0 {
-		limit = maxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("the body has %d bytes, more than %d", r.ContentLength, limit)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, http.StatusBadRequest, errors.Wrap(err, "read the body")
-	}
-	if int64(len(body)) > limit {
-		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("the body has more than %d bytes", limit)
-	}
-	return body, 0, nil
-}
-
 // refuse answers a request that has not run and will not run.
 func (n *Node) refuse(w http.ResponseWriter, info RequestInfo, status int, retryAfter time.Duration, reason string) {
 	n.metrics.refused.Inc(1)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 	// quarantined counts the requests that were refused since they crash leaves.
 	quarantined                        metrics.Counter
 	storeCalls, storeErrors, peerCalls metrics.Counter
+	// callersRefused counts the heads that were refused, callersEvicted the
+	// connections that were closed to make room for other callers.
+	callersRefused, callersEvicted metrics.Counter
 	// delegated counts the queries that another VM ran for this one, aggregated
 	// those that this VM ran for others.
 	delegated, aggregated metrics.Counter
@@ -70,7 +73,8 @@
 		repliesDiscarded: counter("leaf_replies_discarded_total"),
 		quarantined:      counter("requests_quarantined_total"),
 		storeCalls:       counter("store_calls_total"), storeErrors: counter("store_errors_total"),
-		peerCalls: counter("peer_calls_total"),
+		peerCalls:      counter("peer_calls_total"),
+		callersRefused: counter("callers_refused_total"), callersEvicted: counter("callers_evicted_total"),
 		delegated: counter("requests_delegated_total"), aggregated: counter("requests_aggregated_total"),
 		latency: histogram("request_ms"), leafLatency: histogram("leaf_request_ms"),
 		statements:     newStatementMetrics(r),
@@ -79,6 +83,11 @@
 	}
 }
 
+// registerCallers adds what callers take.
+func (m *nodeMetrics) registerCallers(c *callerConns) {
+	metrics.NewRegisteredFunctionalGauge("caller_memory_bytes", m.registry, c.taken)
+}
+
 // ServeHTTP writes the metrics as text, one per line.
 func (m *nodeMetrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -80,6 +80,8 @@
 
 	// replyMemory is the memory of leaves' replies.
 	replyMemory *leafconn.Memory
+	// callers holds the connections of callers.
+	callers *callerConns
 
 	panics *panics.Recorder
 	// inDoubt is true, and doubt is closed, after a panic while the state of the
@@ -129,6 +131,8 @@
 		idleLimits: make(map[fleet.ServiceName]*leafconn.IdleLimit),
 		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, hedgeDelays: latency.NewShardTable(), pools: make(map[fleet.LeafID]*leafPool),
 	}
+	n.callers = newCallerConns(n, config.intakeLimits())
+	n.metrics.registerCallers(n.callers)
 	n.quarantine = newQuarantine(rand.Uint64())
 	n.doubt, n.membersListed, n.rejoin = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	n.panics = panics.NewRecorder(n.metrics.registry)
@@ -291,6 +295,7 @@
 	n.table.SetConfig(config.Placement)
 	n.sources.SetConfig(config.Source)
 	n.linkPeers()
+	n.callers.setLimits(config.intakeLimits())
 	n.gracePeriod.Store(int64(config.GracePeriod))
 	klog.InfoS("Settings reloaded", "extraRatio", config.ExtraLoad.Ratio, "extraSlack", config.ExtraLoad.Slack,
 		"coldFactor", config.Placement.ColdFactor, "coldSlack", config.Placement.ColdSlack, "grace", config.GracePeriod)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -41,7 +41,7 @@
 	// requests and applies configurations.
 	lifetime := n.lifetime
 	defer n.cancel()
-	connections := newCallerConns(n)
+	connections := n.callers
 	callerServer := &http.Server{
 		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, ConnState: connections.connState, ConnContext: connections.connContext,
 		MaxHeaderBytes: maxHeaderBytes,
@@ -56,6 +56,7 @@
 		}
 		if server == callerServer {
 			connections.listener = ln
+			ln = callerListener{TCPListener: ln.(*net.TCPListener), callers: connections}
 		}
 		go func() { serveErrors <- server.Serve(ln) }()
 	}
--- a/internal/leafconn/body.go
+++ b/internal/leafconn/body.go
@@ -5,15 +5,12 @@
 	"net/http"
 	"sync"
 
-	"github.com/pkg/errors"
+	"github.com/medlarswitch/medlarswitch/internal/bodyread"
 )
 
 // maxReplyBytes limits the body of a reply.
 const maxReplyBytes = 8 << 20
 
-// errTooManyBytes is returned for a body that is longer than its limit.
-var errTooManyBytes = errors.New("the body of the reply is longer than its limit")
-
 // body is the body of one reply while it is read.
 type body struct {
 	// limit is the greatest length of the body.
@@ -48,41 +45,9 @@
 	return reply, err
 }
 
-// read reads a body as a whole. Memory grows with the bytes that have arrived, not with the
-// length that the leaf states. The body is not closed, as that would read the rest of it.
+// read reads a body as a whole. The body is not closed, as that would read the rest of it.
 func (b body) read(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > b.limit {
-		return nil, errTooManyBytes
-	}
-	// One byte more than the body, so that its end is found without growing the buffer.
-	maxSize := b.limit + 1
-	if resp.ContentLength >= 0 {
-		maxSize = resp.ContentLength + 1
-	}
-	buf, err := b.grow(nil, min(maxSize, readBufferBytes))
-	for err == nil {
-		var n int
-		n, err = resp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		switch {
-		case err == io.EOF:
-			return buf, nil
-		case err != nil:
-		case int64(len(buf)) > b.limit:
-			err = errTooManyBytes
-		case len(buf) == cap(buf):
-			buf, err = b.grow(buf, min(2*int64(cap(buf)), maxSize))
-		}
-	}
-	return nil, err
-}
-
-// grow returns the bytes in a buffer of the given size.
-func (b body) grow(bytes []byte, size int64) ([]byte, error) {
-	if err := b.memory.resize(b.headBytes + size); err != nil {
-		return nil, err
-	}
-	return append(make([]byte, 0, size), bytes...), nil
+	return bodyread.ReadAll(resp.Body, resp.ContentLength, b.limit, func(size int64) error { return b.memory.resize(b.headBytes + size) })
 }
 
 // copyBuffers holds buffers of copyTo.
@@ -91,7 +56,7 @@
 // copyTo passes a body to a sink. Only what the sink keeps takes memory.
 func (b body) copyTo(sink Sink, resp *http.Response) error {
 	if resp.ContentLength > b.limit {
-		return errTooManyBytes
+		return bodyread.ErrTooLong
 	}
 	buf := copyBuffers.Get().(*[readBufferBytes]byte)
 	defer copyBuffers.Put(buf)
@@ -110,7 +75,7 @@
 		case err != nil:
 			return err
 		case total > b.limit:
-			return errTooManyBytes
+			return bodyread.ErrTooLong
 		}
 	}
 }
--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/medlarswitch/medlarswitch/internal/bodyread"
 )
 
 const (
@@ -165,7 +167,7 @@
 
 // isTooLong reports whether an error means that this VM does not keep the reply.
 func isTooLong(err error) bool {
-	return errors.Is(err, errTooLong) || errors.Is(err, errTooManyBytes) || errors.Is(err, errNoMemory)
+	return errors.Is(err, errTooLong) || errors.Is(err, bodyread.ErrTooLong) || errors.Is(err, errNoMemory)
 }
 
 func isTimeout(err error) bool {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/medlarswitch/medlarswitch/internal/intake"
 	"github.com/medlarswitch/medlarswitch/internal/tomldoc"
 )
 
@@ -13,6 +14,8 @@
 	maxColdFactor = 100
 	minCPU        = 0.001
 	maxCPU        = 1000
+	minMemoryMB   = 32
+	maxMemoryMB   = 1 << 20
 )
 
 // Node are the settings of medlar-node.
@@ -44,7 +47,9 @@
 	// ColdFactor and ColdSlack limit the requests per second to a cold leaf:
 	// ColdFactor times the rate that its service states plus ColdSlack.
 	ColdFactor, ColdSlack float64
-	LogVerbosity          int
+	// Memory is the memory that the process may use, in bytes.
+	Memory       int64
+	LogVerbosity int
 }
 
 func (n *Node) read(t *tomldoc.Table) {
@@ -65,8 +70,18 @@
 	n.ExtraWindow, _ = t.Duration("extra_window", time.Second, maxGrace)
 	n.ColdFactor, _ = t.Float("cold_factor", 0, maxColdFactor)
 	n.ColdSlack, _ = t.Float("cold_slack", 0, maxSlack)
+	n.Memory = optionalInt(t, "memory_mb", minMemoryMB, maxMemoryMB, intake.DefaultMemory>>20) << 20
 	verbosity, _ := t.Int("log_verbosity", 0, maxLogVerbosity)
 	n.LogVerbosity = int(verbosity)
 	reportSharedAddresses(t, map[string]string{"callers": n.Callers, "ready": n.Ready, "admin": n.Admin, "peers": n.Peers},
 		"callers", "ready", "admin", "peers")
 }
+
+// optionalInt reads a whole number, or returns a default if the key is absent.
+func optionalInt(t *tomldoc.Table, key string, low, high, absent int64) int64 {
+	if !t.Has(key) {
+		return absent
+	}
+	n, _ := t.Int(key, low, high)
+	return n
+}
