Bound the connections of callers

What callers saw: nobody could connect to a VM any more, nor could it reach its leaves, while some callers opened many connections and sent nothing, a part of a request, or nothing after an answered one.

Cause: nothing bounded the number of connections. One that has sent nothing is kept for 10 s, one that is idle after a request for 17 s.

Change: package intake also limits the connections: to half of the descriptors that are not reserved for files, and to a quarter of the VM's memory at 24 KB each. That is 1,950 on the smallest VM. A further connection takes the place of the one that has been idle for longest, then of the one that has been sending for longest, if that has lasted a second; both get a 408, which is true since no further request is read. While none may be closed, a new connection gets a 503. The descriptors come from the settings (descriptors, 4,100 if absent).

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -40,6 +40,7 @@
   cold_factor = 1.5              # bound of a cold leaf, times its stated rate
   cold_slack = 5                 # and besides
   memory_mb = 284                # memory that the process may take; 184 if absent
+  descriptors = 4100             # descriptors that it may have open; 4100 if absent
   log_verbosity = 0`
 
 const settingsHelp = `
@@ -99,6 +100,6 @@
 		Source:      feedsource.Config{Self: cfg.Peers, Seeds: cfg.Seeds, FirstStart: cfg.FirstStart},
 		ExtraLoad:   extraload.Config{Ratio: cfg.ExtraRatio, Slack: cfg.ExtraSlack, Window: cfg.ExtraWindow, StartFull: cfg.FirstStart},
 		Placement:   placement.Config{ColdFactor: cfg.ColdFactor, ColdSlack: cfg.ColdSlack},
-		GracePeriod: cfg.Grace, Memory: cfg.Memory,
+		GracePeriod: cfg.Grace, Memory: cfg.Memory, Descriptors: cfg.Descriptors,
 	}
 }
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -184,15 +184,20 @@
 		return nil
 	}
 	c.closing = true
+	return writeClose(c, status, header, closeNoticeTimeout)
+}
+
+// writeClose writes a response that announces the close of a connection.
+func writeClose(conn net.Conn, status int, header http.Header, timeout time.Duration) error {
 	response := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true}
 	var text bytes.Buffer
 	if err := response.Write(&text); err != nil {
 		return err
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(closeNoticeTimeout)); err != nil {
+	if err := conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	_, err := c.Write(text.Bytes())
+	_, err := conn.Write(text.Bytes())
 	return err
 }
 
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -23,6 +23,9 @@
 	// connections, so that a request that is sent within the timeout does not
 	// race with the close.
 	idleTimeoutMargin = 2 * time.Second
+	// refusalTimeout limits the write of a refusal to a new connection, whose send buffer is
+	// empty.
+	refusalTimeout = 50 * time.Millisecond
 	// lingerTime is how long a connection stays open for the rest of a request that was refused
 	// before its end. A close with unread bytes could take the answer from the caller.
 	lingerTime = 250 * time.Millisecond
@@ -55,15 +58,27 @@
 	c.table.SetConfig(limits)
 }
 
-// accept adds a connection.
+// accept adds a connection, or refuses it and returns nil.
 func (c *callerConns) accept(raw *net.TCPConn) *callerConn {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.lastID++
 	conn := &callerConn{TCPConn: raw, id: c.lastID, callers: c}
-	c.table.Connect(c.node.now(), conn.id)
-	c.conns[conn.id] = conn
-	return conn
+	evicted, ok := c.table.Connect(c.node.now(), conn.id)
+	if ok {
+		c.conns[conn.id] = conn
+	}
+	c.mu.Unlock()
+	c.evict(evicted)
+	if ok {
+		return conn
+	}
+	c.node.metrics.callersRefused.Inc(1)
+	if err := writeClose(raw, http.StatusServiceUnavailable, c.refusalHeader(), refusalTimeout); err != nil {
+		klog.InfoS("Failed to refuse a connection", "caller", raw.RemoteAddr(), "err", err)
+	}
+	// The caller may have closed it at the same time.
+	_ = raw.Close()
+	return nil
 }
 
 // refusalHeader returns the headers of a refusal that names no request. Another VM may have room.
@@ -168,13 +183,20 @@
 	delete(c.conns, id)
 }
 
-// taken returns the shared memory that callers take, in bytes.
+// taken returns the shared memory that callers take, in bytes, and open the number of their
+// connections.
 func (c *callerConns) taken() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.Taken()
 }
 
+func (c *callerConns) open() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int64(c.table.Connections())
+}
+
 // closeIdle closes the connections whose idle timeout has expired.
 func (c *callerConns) closeIdle(now time.Time) {
 	conf := c.node.activeConfiguration.Load()
--- a/internal/gateway/caller_listener.go
+++ b/internal/gateway/caller_listener.go
@@ -2,7 +2,8 @@
 
 import "net"
 
-// callerListener accepts the connections of callers.
+// callerListener accepts the connections of callers for which there is room and refuses the
+// others.
 type callerListener struct {
 	*net.TCPListener
 	callers *callerConns
@@ -10,9 +11,13 @@
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
-	raw, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if conn := l.callers.accept(raw); conn != nil {
+			return conn, nil
+		}
 	}
-	return l.callers.accept(raw), nil
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -28,16 +28,17 @@
 	Source      feedsource.Config
 	ExtraLoad   extraload.Config
 	Placement   placement.Config
-	// Memory is the memory that the process may use, in bytes; 0 means that of the smallest
-	// VM.
-	Memory int64
+	// Memory, in bytes, and Descriptors are those that the process may use; 0 means those of
+	// the smallest VM.
+	Memory      int64
+	Descriptors int
 	// GracePeriod is the time from the stop signal to the kill.
 	GracePeriod time.Duration
 }
 
 // intakeLimits returns the limits of what callers may take.
 func (c *Config) intakeLimits() intake.Config {
-	return intake.ConfigFor(cmp.Or(c.Memory, intake.DefaultMemory))
+	return intake.ConfigFor(cmp.Or(c.Memory, intake.DefaultMemory), cmp.Or(c.Descriptors, intake.DefaultDescriptors))
 }
 
 // self returns this VM as other VMs see it.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,7 +37,7 @@
 	// quarantined counts the requests that were refused since they crash leaves.
 	quarantined                        metrics.Counter
 	storeCalls, storeErrors, peerCalls metrics.Counter
-	// callersRefused counts the heads that were refused, callersEvicted the
+	// callersRefused counts the connections and heads that were refused, callersEvicted the
 	// connections that were closed to make room for other callers.
 	callersRefused, callersEvicted metrics.Counter
 	// delegated counts the queries that another VM ran for this one, aggregated
@@ -85,6 +85,7 @@
 
 // registerCallers adds what callers take.
 func (m *nodeMetrics) registerCallers(c *callerConns) {
+	metrics.NewRegisteredFunctionalGauge("caller_connections", m.registry, c.open)
 	metrics.NewRegisteredFunctionalGauge("caller_memory_bytes", m.registry, c.taken)
 }
 
--- a/internal/intake/config.go
+++ b/internal/intake/config.go
@@ -2,27 +2,46 @@
 
 import "time"
 
-// DefaultMemory is the memory of the smallest VM, in bytes.
-const DefaultMemory = 184 << 20
+// DefaultMemory, in bytes, and DefaultDescriptors are those of the smallest VM.
+const (
+	DefaultMemory      = 184 << 20
+	DefaultDescriptors = 4100
+)
 
 const (
 	// Allowance is the memory that each caller may take besides the shared memory, in bytes. An
 	// ordinary request has less than 2 KB in 25 header lines.
 	Allowance = 12 << 10
+	// ConnectionMemory is the memory of a connection with its allowance, in bytes: the stack
+	// of its goroutine and two buffers of 4 KB.
+	ConnectionMemory = 12<<10 + Allowance
 	// Patience is how long a caller may at least take to send a request. A request of the
 	// greatest length takes some 100 ms on a link of 20 Mbit/s.
 	Patience = time.Second
 )
 
-// requestsPart is the part of the memory of a VM that requests of callers share, as a divisor. The
-// rest is for connections, replies, the copies of the configuration and the garbage collector.
-const requestsPart = 8
+// reservedDescriptors are those of files. Half of the others are for callers, the other half for
+// leaves and other VMs.
+const reservedDescriptors = 200
+
+// Of the memory of a VM, a quarter is for connections of callers and an eighth is shared by their
+// requests. The rest is for replies, the copies of the configuration and the garbage collector.
+const (
+	connectionsPart = 4
+	requestsPart    = 8
+)
 
 // Config limits what callers may take.
 type Config struct {
+	// Connections is the number of connections that may be open.
+	Connections int
 	// Memory is the shared memory, in bytes.
 	Memory int64
 }
 
-// ConfigFor returns the limits of a VM with the given memory, in bytes.
-func ConfigFor(memory int64) Config { return Config{Memory: memory / requestsPart} }
+// ConfigFor returns the limits of a VM with the given memory, in bytes, and descriptors.
+func ConfigFor(memory int64, descriptors int) Config {
+	byMemory := memory / connectionsPart / ConnectionMemory
+	byDescriptors := int64(descriptors-reservedDescriptors) / 2
+	return Config{Connections: int(max(min(byMemory, byDescriptors), 1)), Memory: memory / requestsPart}
+}
--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -23,8 +23,10 @@
 	// since is when the state began.
 	since time.Duration
 	bytes int64
-	// evicted is true once the caller must make room.
-	evicted bool
+	// counted is true while the caller counts as one of the connections.
+	counted bool
+	// evicted is true once the caller must make room, displaced if that is for a connection.
+	evicted, displaced bool
 }
 
 // beyondAllowance returns the shared memory that the caller takes.
@@ -39,8 +41,9 @@
 type Table struct {
 	config  Config
 	callers map[ID]*caller
-	// taken is the shared memory that is taken.
-	taken int64
+	// connections is the number of connected callers, taken the shared memory that is taken.
+	connections int
+	taken       int64
 }
 
 // New returns a table without callers.
@@ -49,8 +52,23 @@
 // SetConfig changes the limits. What has been taken stays taken.
 func (t *Table) SetConfig(config Config) { t.config = config }
 
-// Connect adds a new connection.
-func (t *Table) Connect(now time.Duration, id ID) { t.callers[id] = &caller{since: now} }
+// Connect adds a new connection and returns true, or returns false if there are too many. It may
+// first evict another caller, which has to be disconnected then.
+func (t *Table) Connect(now time.Duration, id ID) (evicted []ID, ok bool) {
+	if t.connections >= t.config.Connections {
+		victim, found := t.oldest(now, func(c *caller) bool { return c.counted })
+		if !found {
+			return nil, false
+		}
+		c := t.callers[victim]
+		c.evicted, c.displaced, c.counted = true, true, false
+		t.connections--
+		evicted = []ID{victim}
+	}
+	t.connections++
+	t.callers[id] = &caller{since: now, counted: true}
+	return evicted, true
+}
 
 // Take sets the memory that a caller takes for its request and returns true, or returns false and
 // changes nothing if the shared memory does not have it. It may name callers that have to be
@@ -122,7 +140,11 @@
 	if c == nil || c.state == s {
 		return
 	}
-	c.state, c.since, c.evicted = s, now, false
+	if c.displaced {
+		c.counted = true
+		t.connections++
+	}
+	c.state, c.since, c.evicted, c.displaced = s, now, false, false
 }
 
 // Remove removes a caller and returns what it has taken.
@@ -132,8 +154,14 @@
 		return
 	}
 	t.taken -= c.beyondAllowance()
+	if c.counted {
+		t.connections--
+	}
 	delete(t.callers, id)
 }
 
+// Connections returns the number of connections, except for those that were evicted for others.
+func (t *Table) Connections() int { return t.connections }
+
 // Taken returns the shared memory that is taken, in bytes.
 func (t *Table) Taken() int64 { return t.taken }
--- a/internal/intake/table_test.go
+++ b/internal/intake/table_test.go
@@ -16,7 +16,14 @@
 	piece         = 64 << 10
 )
 
-func newTestTable() *Table { return New(Config{Memory: testMemory}) }
+func newTestTable() *Table { return New(Config{Connections: 1000, Memory: testMemory}) }
+
+// connect adds a connection that must be accepted.
+func connect(t *testing.T, table *Table, now time.Duration, id ID) {
+	t.Helper()
+	_, ok := table.Connect(now, id)
+	assert.Assert(t, ok)
+}
 
 // arrive takes memory for a caller piece by piece, and reports whether it got all.
 func arrive(table *Table, now time.Duration, id ID, bytes int64) (evicted []ID, ok bool) {
@@ -37,7 +44,7 @@
 	table := newTestTable()
 	admitted := 0
 	for id := range ID(200) {
-		table.Connect(0, id)
+		connect(t, table, 0, id)
 		if evicted, ok := arrive(table, 0, id, longBody); ok {
 			admitted++
 		} else {
@@ -47,13 +54,13 @@
 		assert.Assert(t, table.Taken() <= testMemory)
 	}
 	assert.Assert(t, admitted >= testMemory/longBody-1)
-	table.Connect(0, 1000)
+	connect(t, table, 0, 1000)
 	table.Send(0, 1000)
 	_, ok := table.Take(0, 1000, ordinaryBytes)
 	assert.Assert(t, ok)
 
 	now := Patience
-	table.Connect(now, 1001)
+	connect(t, table, now, 1001)
 	evicted, ok := arrive(table, now, 1001, longBody)
 	assert.Assert(t, !ok && len(evicted) == 1)
 	again, ok := arrive(table, now, 1001, longBody)
@@ -68,14 +75,14 @@
 func TestRunningRequestsAreNotEvicted(t *testing.T) {
 	table := newTestTable()
 	for id := range ID(testMemory / longBody) {
-		table.Connect(0, id)
+		connect(t, table, 0, id)
 		_, ok := arrive(table, 0, id, longBody)
 		assert.Assert(t, ok)
 		if id > 0 {
 			table.Run(0, id)
 		}
 	}
-	table.Connect(Patience, 100)
+	connect(t, table, Patience, 100)
 	evicted, ok := arrive(table, Patience, 100, longBody)
 	assert.Assert(t, !ok)
 	assert.DeepEqual(t, evicted, []ID{0})
@@ -84,12 +91,37 @@
 	assert.Assert(t, !ok && len(evicted) == 0)
 }
 
-// Guards against memory that is counted twice or never returned, in any order
+// Load pattern: callers open connections and send nothing, or a part of a request, until the
+// limit. Guards against new callers that are refused for longer than Patience, and against
+// ending a request before an idle connection.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	table := New(Config{Connections: 3, Memory: testMemory})
+	for id := range ID(3) {
+		connect(t, table, time.Duration(id), id)
+	}
+	table.Send(3, 0)
+	table.Run(4, 1)
+	_, ok := table.Connect(5, 10)
+	assert.Assert(t, !ok)
+	now := Patience + 5
+	for i, want := range []ID{2, 0} {
+		evicted, ok := table.Connect(now, ID(10+i))
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, evicted, []ID{want})
+		assert.Equal(t, table.Connections(), 3)
+		table.Remove(want)
+		assert.Equal(t, table.Connections(), 3)
+	}
+	_, ok = table.Connect(now, 20)
+	assert.Assert(t, !ok, "one caller runs and two are new")
+}
+
+// Guards against memory or connections that are counted twice or never returned, in any order
 // of calls (seeds 1 to 100).
 func TestWhatIsTakenIsReturned(t *testing.T) {
 	for seed := range uint64(100) {
 		rng := rand.New(rand.NewPCG(seed+1, 0))
-		table := New(Config{Memory: 1 << 20})
+		table := New(Config{Connections: 20, Memory: 1 << 20})
 		var now time.Duration
 		for range 3000 {
 			now += time.Duration(rng.Int64N(int64(Patience / 10)))
@@ -110,15 +142,37 @@
 				table.Remove(id)
 			}
 			var taken int64
+			counted := 0
 			for _, c := range table.callers {
 				taken += c.beyondAllowance()
+				if c.counted {
+					counted++
+				}
 			}
 			assert.Equal(t, table.Taken(), taken, "seed %d", seed+1)
 			assert.Assert(t, taken <= 1<<20, "seed %d", seed+1)
+			assert.Equal(t, table.Connections(), counted, "seed %d", seed+1)
 		}
 		for id := range ID(30) {
 			table.Remove(id)
 		}
 		assert.Equal(t, table.Taken(), int64(0))
+		assert.Equal(t, table.Connections(), 0)
+	}
+}
+
+// Guards against limits that callers within those of the pages meet on the smallest VM, and
+// against ones that leave too little for the rest of the process.
+func TestLimitsOfVMs(t *testing.T) {
+	smallest := ConfigFor(DefaultMemory, DefaultDescriptors)
+	assert.Equal(t, smallest.Connections, 1950)
+	// Ten requests with a body of 256 KB and a head of 16 KB in short lines at a time.
+	assert.Assert(t, smallest.Memory >= 10*(2*256<<10+3000*256+2*16<<10))
+	for _, memory := range []int64{32 << 20, 64 << 20, 284 << 20, 536 << 20} {
+		for _, descriptors := range []int{256, 400, 4100, 8192} {
+			c := ConfigFor(memory, descriptors)
+			assert.Assert(t, c.Connections > 0 && c.Connections <= (descriptors-reservedDescriptors)/2)
+			assert.Assert(t, int64(c.Connections)*ConnectionMemory+c.Memory <= memory/2)
+		}
 	}
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -8,14 +8,16 @@
 )
 
 const (
-	maxExtraRatio = 10
-	maxSlack      = 1_000_000
-	maxGrace      = 10 * time.Minute
-	maxColdFactor = 100
-	minCPU        = 0.001
-	maxCPU        = 1000
-	minMemoryMB   = 32
-	maxMemoryMB   = 1 << 20
+	maxExtraRatio  = 10
+	maxSlack       = 1_000_000
+	maxGrace       = 10 * time.Minute
+	maxColdFactor  = 100
+	minCPU         = 0.001
+	maxCPU         = 1000
+	minMemoryMB    = 32
+	maxMemoryMB    = 1 << 20
+	minDescriptors = 256
+	maxDescriptors = 1 << 24
 )
 
 // Node are the settings of medlar-node.
@@ -47,8 +49,9 @@
 	// ColdFactor and ColdSlack limit the requests per second to a cold leaf:
 	// ColdFactor times the rate that its service states plus ColdSlack.
 	ColdFactor, ColdSlack float64
-	// Memory is the memory that the process may use, in bytes.
+	// Memory, in bytes, and Descriptors are those that the process may use.
 	Memory       int64
+	Descriptors  int
 	LogVerbosity int
 }
 
@@ -71,6 +74,7 @@
 	n.ColdFactor, _ = t.Float("cold_factor", 0, maxColdFactor)
 	n.ColdSlack, _ = t.Float("cold_slack", 0, maxSlack)
 	n.Memory = optionalInt(t, "memory_mb", minMemoryMB, maxMemoryMB, intake.DefaultMemory>>20) << 20
+	n.Descriptors = int(optionalInt(t, "descriptors", minDescriptors, maxDescriptors, intake.DefaultDescriptors))
 	verbosity, _ := t.Int("log_verbosity", 0, maxLogVerbosity)
 	n.LogVerbosity = int(verbosity)
 	reportSharedAddresses(t, map[string]string{"callers": n.Callers, "ready": n.Ready, "admin": n.Admin, "peers": n.Peers},
--- a/test/callers/vm_test.go
+++ b/test/callers/vm_test.go
@@ -36,6 +36,7 @@
 cold_factor = 1.5
 cold_slack = 5
 memory_mb = %d
+descriptors = %d
 log_verbosity = 0
 `
 
@@ -61,7 +62,7 @@
 	ready, peers := freeAddress(t), freeAddress(t)
 	dir := t.TempDir()
 	path := filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(vmSettings, name, cores, v.callers, ready, v.admin, peers, peers, store, limits.memory>>20)
+	text := fmt.Sprintf(vmSettings, name, cores, v.callers, ready, v.admin, peers, peers, store, limits.memory>>20, limits.descriptors)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	process, err := harness.StartProcess(dir, name, program, "--settings", path)
 	assert.NilError(t, err)
