Answer a refused request although its body does not end

What callers saw: a request that was refused before its body had been read, such as one without a route, got no answer until it had sent all of the body, and its connection stayed open for ever if it never did. Callers that stop short of the end could so take all connections.

Cause: net/http reads the rest of a body of up to 256 KB before it sends an answer, unless the answer announces the close of the connection; after the answer it reads on to reuse the connection. No deadline for reads was set then, since the connection counts as busy until its request has ended.

Evidence: TestRefusalDoesNotWaitForTheBody waits for an answer for 30 s in vain in two of three rows before, and passes now.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -63,29 +63,28 @@
 		w.Header().Set("Connection", "close")
 	}
 	if conn := callerConnOf(r.Context()); conn != nil && !conn.takeHead(r) {
-		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errNoCallerMemory.Error())
+		n.refuseUnread(w, r, info, http.StatusServiceUnavailable, otherVMRetryAfter, errNoCallerMemory.Error())
 		return
 	}
 	if n.inDoubt.Load() {
 		w.Header().Set("Connection", "close")
-		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errStateInDoubt.Error())
+		n.refuseUnread(w, r, info, http.StatusServiceUnavailable, otherVMRetryAfter, errStateInDoubt.Error())
 		return
 	}
 	conf := n.activeConfiguration.Load()
 	if conf == nil {
-		n.refuse(w, info, http.StatusServiceUnavailable, n.syncedIn(), "no configuration yet")
+		n.refuseUnread(w, r, info, http.StatusServiceUnavailable, n.syncedIn(), "no configuration yet")
 		return
 	}
 	route := conf.FindRoute(r.Host, r.URL.EscapedPath())
 	if route == nil {
-		n.refuse(w, info, http.StatusNotFound, 0, "no route for "+r.Host+r.URL.EscapedPath())
+		n.refuseUnread(w, r, info, http.StatusNotFound, 0, "no route for "+r.Host+r.URL.EscapedPath())
 		return
 	}
 	c := &call{info: info, conf: conf, route: route, startedAt: startedAt, path: r.URL.EscapedPath()}
 	body, failure := n.readBody(w, r, conf.Limits.MaxBodyBytes, startedAt.Add(c.timeout()))
 	if failure != nil {
-		w.Header().Set("Connection", "close")
-		n.refuse(w, info, failure.status, failure.retryAfter, failure.Error())
+		n.refuseUnread(w, r, info, failure.status, failure.retryAfter, failure.Error())
 		return
 	}
 	c.request = leafconn.Request{
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/medlarswitch/medlarswitch/internal/bodyread"
 )
@@ -81,3 +82,16 @@
 	}
 	return &bodyError{errors.Wrap(err, "read the body"), http.StatusBadRequest, 0}
 }
+
+// refuseUnread refuses a request whose body has not been read to its end. net/http reads on after
+// the answer, which it would do for as long as the caller keeps the connection open.
+func (n *Node) refuseUnread(w http.ResponseWriter, r *http.Request, info RequestInfo, status int, retryAfter time.Duration, reason string) {
+	if r.ContentLength != 0 {
+		// With this header net/http sends the answer before it reads on.
+		w.Header().Set("Connection", "close")
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+			klog.InfoS("Failed to limit the wait for the rest of a body", "request", info.RequestID, "err", err)
+		}
+	}
+	n.refuse(w, info, status, retryAfter, reason)
+}
