Share the forwarded head and body among the requests of a call

What callers saw: on a route of many shards, a handful of legal requests with heads of many short lines took the memory of the VM.

Cause: each leaf request had a copy of the parsed header, for as long as its leaf worked on it, and encoded head and body into a buffer of its own. A request to 100 shards so took 100 times what it took to arrive, and the bound of callers' memory counts it once.

Change: the header lines that are forwarded are encoded once for a call; the parsed header is dropped. A leaf request adds the lines of its own (ID, leaf, time left), and long lines and bodies are written from where they are. The codec's LeafRequestHeader returns only its own lines for this.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,7 @@
 	request := c.request
 	request.Admit = func() bool {
 		left := n.stopping.limitLeafTime(deadline.Sub(n.started)) - n.now()
-		request.Header = n.codec.LeafRequestHeader(c.request.Header, c.info.RequestID, a.leaf, left)
+		request.Header = n.codec.LeafRequestHeader(c.info.RequestID, a.leaf, left)
 		return n.maySend(a, c.route.Name) && a.sendState.begin()
 	}
 	var info ReplyInfo
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -46,6 +46,12 @@
 	return max(left-deadlineMargin, deadlineMargin)
 }
 
+// encodeHeader encodes the forwarded headers, which all leaf requests of the call share, and drops
+// the parsed ones. The fingerprint must be known by then.
+func (c *call) encodeHeader(codec Codec) {
+	c.request.Lines, c.request.Header = codec.ForwardedLines(c.request.Header, c.info.RequestID), nil
+}
+
 // serve handles one request of a caller.
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
 	if conn := callerConnOf(r.Context()); conn != nil && !conn.beginRequest() {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -44,9 +44,12 @@
 	// DiffersPerAttempt reports whether a forwarded header differs between the attempts of
 	// a caller's request. The name is in the canonical form of net/http.
 	DiffersPerAttempt(name string) bool
-	// LeafRequestHeader adds the leaf that must run the request, and the time
-	// left for it.
-	LeafRequestHeader(h http.Header, requestID string, leaf fleet.LeafID, left time.Duration) http.Header
+	// ForwardedLines encodes forwarded headers, except for those that LeafRequestHeader
+	// returns for a request with this ID.
+	ForwardedLines(h http.Header, requestID string) []byte
+	// LeafRequestHeader returns the headers of a leaf request that name the request, the leaf
+	// that must run it, and the time left for it.
+	LeafRequestHeader(requestID string, leaf fleet.LeafID, left time.Duration) http.Header
 	// ReplyRequestID returns the ID of the request that a leaf's reply belongs to, or "" if
 	// the reply states none.
 	ReplyRequestID(h http.Header) string
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -56,6 +56,7 @@
 		shards = []fleet.ServiceName{n.serviceOf(c.route)}
 	}
 	r := &run{node: n, call: c, results: make(chan result, len(shards)*max(c.route.Attempts, 1)+1)}
+	c.encodeHeader(n.codec)
 	r.machine = query.New(r.params(len(shards)), n.plan(c.route, shards))
 	// The replies are needed until the answer has been written.
 	defer r.releaseReplies()
--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -78,7 +78,7 @@
 	written := make(chan error, 1)
 	encoded := r.encode()
 	if len(r.Body) < readBufferBytes {
-		_, err := c.Write(encoded)
+		_, err := encoded.WriteTo(c.Conn)
 		if err != nil {
 			return nil, false, &Error{Step: StepWrite, Sent: true, ConnectionLost: !isTimeout(err), Err: err}
 		}
@@ -86,7 +86,7 @@
 	} else {
 		// A leaf may reply before it has read a long body.
 		go func() {
-			_, err := c.Write(encoded)
+			_, err := encoded.WriteTo(c.Conn)
 			written <- err
 		}()
 	}
--- a/internal/leafconn/exchange_test.go
+++ b/internal/leafconn/exchange_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -269,9 +271,17 @@
 func TestRequestIsEncodedUnchanged(t *testing.T) {
 	r := &Request{Method: "POST", Target: "/a%2Fb/?q=1&q=%20", Host: "h.example", Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("xyz"), HasBody: true}
 	want := "POST /a%2Fb/?q=1&q=%20 HTTP/1.1\r\nHost: h.example\r\nX-A: 1\r\nX-A: 2\r\nContent-Length: 3\r\n\r\nxyz"
-	assert.Equal(t, string(r.encode()), want)
+	assert.Equal(t, string(bytes.Join(r.encode(), nil)), want)
 	r.Body, r.HasBody = nil, false
-	assert.Equal(t, string(r.encode()), "POST /a%2Fb/?q=1&q=%20 HTTP/1.1\r\nHost: h.example\r\nX-A: 1\r\nX-A: 2\r\n\r\n")
+	assert.Equal(t, string(bytes.Join(r.encode(), nil)), "POST /a%2Fb/?q=1&q=%20 HTTP/1.1\r\nHost: h.example\r\nX-A: 1\r\nX-A: 2\r\n\r\n")
+	// Long lines and bodies are not copied.
+	for _, lines := range []string{"", "X-L: 1\r\n", strings.Repeat("X-L: 1\r\n", 1000)} {
+		for _, body := range []string{"", "xyz", strings.Repeat("xyz", 5000)} {
+			r.Lines, r.Body, r.HasBody = []byte(lines), []byte(body), true
+			want := fmt.Sprintf("POST /a%%2Fb/?q=1&q=%%20 HTTP/1.1\r\nHost: h.example\r\n%sX-A: 1\r\nX-A: 2\r\nContent-Length: %d\r\n\r\n%s", lines, len(body), body)
+			assert.Equal(t, string(bytes.Join(r.encode(), nil)), want)
+		}
+	}
 }
 
 // Load pattern: requests to a leaf that closes idle connections soon and does not say
--- a/test/callers/heads_test.go
+++ b/test/callers/heads_test.go
@@ -31,3 +31,13 @@
 		{name: "odd lines, many leaves", request: oddLines, path: widePath},
 	})
 }
+
+// Guards against requests that take memory for each leaf that they are sent to, so that a few of
+// them exceed the memory of the VM on a large deployment.
+func TestRequestsToManyLeaves(t *testing.T) {
+	runRows(t, memoryCrowd, smallMemory, false, []row{
+		{name: "short header lines", request: shortLines, path: widePath, shards: largeShards},
+		{name: "odd header lines", request: oddLines, path: widePath, shards: largeShards},
+		{name: "bodies", request: withBody, path: widePath, shards: largeShards},
+	})
+}
--- a/test/callers/row_test.go
+++ b/test/callers/row_test.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"cmp"
 	"testing"
 )
 
@@ -32,6 +33,8 @@
 	// request returns the text of a legal request for a path.
 	request func(path string) string
 	path    string
+	// shards is the number of shards of widePath; 0 means defaultShards.
+	shards int
 	// withheld is the number of bytes at its end that the crowd does not send, at most all.
 	withheld int
 	// piece is the number of bytes that a caller sends at a time; 0 means all.
@@ -49,7 +52,7 @@
 // run checks that all VMs live and are within their limits, and that an ordinary request is
 // answered, beside the crowd and after it. Before, a single request of the crowd is served.
 func (r row) run(t *testing.T, callers int, limits vmLimits, delegated bool) {
-	s := startService(t)
+	s := startService(t, cmp.Or(r.shards, defaultShards))
 	vms := []*vm{startVM(t, "vm-1", s.store.Addr(), 0.4, limits)}
 	if delegated {
 		vms = append(vms, startVM(t, "vm-2", s.store.Addr(), 4, limits))
--- a/test/callers/service_test.go
+++ b/test/callers/service_test.go
@@ -9,8 +9,12 @@
 	"github.com/medlarswitch/medlarswitch/platform/standin"
 )
 
-// shards is the number of shards of the route of many leaves.
-const shards = 20
+// defaultShards is the number of shards of the route of many leaves, as on a small deployment;
+// largeShards is about half of that on a large one.
+const (
+	defaultShards = 20
+	largeShards   = 100
+)
 
 // service is the stand-ins of the store and the leaves.
 type service struct {
@@ -20,8 +24,8 @@
 }
 
 // startService starts a route of one leaf for ordinary requests, and for the crowd a route of
-// one leaf and one of many.
-func startService(t *testing.T) *service {
+// one leaf and one of many shards.
+func startService(t *testing.T, shards int) *service {
 	s := &service{store: standin.NewStore()}
 	t.Cleanup(s.store.Close)
 	s.startLeaf(t, "single", nil)
