Count the queries of other VMs as memory of callers

What callers saw: queries with long bodies at several VMs, each within its own memory, exceeded that of the VM which runs them.

Cause: a VM runs up to 64 queries of others, whatever their size; each kept its body twice, in the message and decoded.

Change: a query takes its memory from that of callers before it runs. If there is none it is declined, and runs where it arrived. The message is dropped once it is decoded.

--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/medlarswitch/medlarswitch/internal/intake"
 	"github.com/medlarswitch/medlarswitch/internal/leafconn"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/wire"
@@ -37,13 +38,16 @@
 	// The query is counted before the check for a stop, so that the stop waits
 	// for it.
 	exitDrain := n.drain.Enter()
-	c, reason := n.acceptQuery(&q)
+	c, memory, reason := n.admitQuery(&q)
 	key := aggregatedKey{p, env.ID}
 	ctx, cancel := context.WithCancel(n.lifetime)
 	if c != nil && !n.aggregated.add(key, cancel) {
 		c, reason = nil, "too many queries from other VMs"
 	}
+	// The answer does not need the message.
+	env.Body = nil
 	if c == nil {
+		n.callers.remove(memory)
 		klog.V(1).InfoS("Declined a query from another VM", "request", q.RequestID, "vm", p.Remote.VM, "why", reason)
 		n.answerQuery(p, env, message.QueryAnswer{Declined: true})
 		cancel()
@@ -52,6 +56,7 @@
 	}
 	go func() {
 		defer exitDrain()
+		defer n.callers.remove(memory)
 		defer cancel()
 		defer n.aggregated.remove(key)
 		defer n.panics.Recover("aggregate", q.RequestID, func() {
@@ -61,6 +66,25 @@
 	}()
 }
 
+// admitQuery returns a query as a call of this VM with the entry that holds its memory, or the
+// reason to decline it.
+func (n *Node) admitQuery(q *message.Query) (*call, intake.ID, string) {
+	c, reason := n.acceptQuery(q)
+	if c == nil {
+		return nil, 0, reason
+	}
+	memory, ok := n.callers.addRun(queryMemory(q))
+	if !ok {
+		return nil, 0, errNoCallerMemory.Error()
+	}
+	return c, memory, ""
+}
+
+// queryMemory returns the memory that a query of another VM takes.
+func queryMemory(q *message.Query) int64 {
+	return headerMemory(q.Header) + headByteFactor*int64(len(q.Target)) + bodyByteFactor*int64(len(q.Body))
+}
+
 // acceptQuery returns a query as a call of this VM, or the reason to decline
 // it. Both VMs must use the same version of the configuration: otherwise the
 // delegating VM could handle its next query by an older version than this one.
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -97,6 +97,21 @@
 	return ok
 }
 
+// addRun takes the memory of a query of another VM and returns its ID, or returns false if there
+// is none. It is returned with remove.
+func (c *callerConns) addRun(memory int64) (intake.ID, bool) {
+	c.mu.Lock()
+	c.lastID++
+	id := c.lastID
+	c.table.AddRun(c.node.now(), id)
+	c.mu.Unlock()
+	if !c.take(id, memory) {
+		c.remove(id)
+		return 0, false
+	}
+	return id, true
+}
+
 // evict ends requests that have not arrived as a whole and idle connections.
 func (c *callerConns) evict(ids []intake.ID) {
 	for _, id := range ids {
--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// ID identifies a caller by its connection.
+// ID identifies a caller: a connection, or a query of another VM.
 type ID uint64
 
 // state is what a caller does.
@@ -70,6 +70,11 @@
 	return evicted, true
 }
 
+// AddRun adds a query of another VM, which has arrived as a whole.
+func (t *Table) AddRun(now time.Duration, id ID) {
+	t.callers[id] = &caller{state: running, since: now}
+}
+
 // Take sets the memory that a caller takes for its request and returns true, or returns false and
 // changes nothing if the shared memory does not have it. It may name callers that have to be
 // disconnected; their memory can be taken once they have been removed.
--- a/internal/intake/table_test.go
+++ b/internal/intake/table_test.go
@@ -130,6 +130,8 @@
 			switch op := rng.IntN(7); {
 			case op == 0 && !known:
 				table.Connect(now, id)
+			case op == 1 && !known:
+				table.AddRun(now, id)
 			case op == 2:
 				table.Send(now, id)
 			case op == 3:
