Bound the memory of requests that wait for leaves

What callers saw: many ordinary queries at a time exceeded the memory of a VM while leaves were slow; a query takes memory for each of its shards.

Cause: nothing bounded how many requests run at a VM, except for those of other VMs, by number.

Change: a run takes 8 KB for each shard from a fifth of the VM's memory, shared among routes as the memory of replies is (memshare), so that queries of one route leave room for requests of others. Without room a request is refused at once with 503, a query of another VM declined. Replies take two ninths of the memory at most, which is 40 MiB on the smallest VM as before; connections of callers a sixth instead of a quarter, so that all parts fit.

--- a/cmd/medlar-node/main.go
+++ b/cmd/medlar-node/main.go
@@ -45,8 +45,8 @@
 
 const settingsHelp = `
 
-SIGHUP reloads the bounds, the seeds and the grace period. A changed address takes
-effect after a restart. Without --settings, the environment variable
+SIGHUP reloads the bounds, the seeds and the grace period. A changed address, memory
+or number of descriptors takes effect after a restart. Without --settings, the environment variable
 MEDLARSWITCH_CONFIG names the file.`
 
 func main() {
@@ -67,7 +67,8 @@
 }
 
 func run(ctx context.Context, path string, cfg settings.Node) error {
-	limitHeap(cfg.Memory)
+	// The garbage collector runs more often when the memory would not suffice otherwise.
+	debug.SetMemoryLimit(int64(heapPart * float64(cfg.Memory)))
 	node := gateway.New(gatewayConfig(cfg), platform.NewStore(cfg.Store), platform.Codec{})
 	lifecycle.OnReload(ctx, path, func() { reload(node, path) })
 	return node.Run(ctx)
@@ -81,7 +82,6 @@
 		klog.ErrorS(err, "The changed settings are not valid, keeping the previous ones")
 		return
 	}
-	limitHeap(cfg.Memory)
 	node.Reload(gatewayConfig(cfg))
 }
 
@@ -89,10 +89,6 @@
 // text and for buffers of the system.
 const heapPart = 0.75
 
-// limitHeap makes the garbage collector run more often when the memory would not suffice
-// otherwise.
-func limitHeap(memory int64) { debug.SetMemoryLimit(int64(heapPart * float64(memory))) }
-
 func gatewayConfig(cfg settings.Node) gateway.Config {
 	return gateway.Config{
 		VM: cfg.VM, Zone: cfg.Zone, Cores: cfg.CPUShare * cfg.CPUSpeed, CallerAddress: cfg.Callers, ReadyAddress: cfg.Ready, AdminAddress: cfg.Admin, ReadyPath: platform.ReadyPath,
--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -7,7 +7,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/medlarswitch/medlarswitch/internal/intake"
 	"github.com/medlarswitch/medlarswitch/internal/leafconn"
 	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/wire"
@@ -38,16 +37,16 @@
 	// The query is counted before the check for a stop, so that the stop waits
 	// for it.
 	exitDrain := n.drain.Enter()
-	c, memory, reason := n.admitQuery(&q)
+	c, reason := n.admitQuery(&q)
 	key := aggregatedKey{p, env.ID}
 	ctx, cancel := context.WithCancel(n.lifetime)
 	if c != nil && !n.aggregated.add(key, cancel) {
+		n.release(c)
 		c, reason = nil, "too many queries from other VMs"
 	}
 	// The answer does not need the message.
 	env.Body = nil
 	if c == nil {
-		n.callers.remove(memory)
 		klog.V(1).InfoS("Declined a query from another VM", "request", q.RequestID, "vm", p.Remote.VM, "why", reason)
 		n.answerQuery(p, env, message.QueryAnswer{Declined: true})
 		cancel()
@@ -56,7 +55,7 @@
 	}
 	go func() {
 		defer exitDrain()
-		defer n.callers.remove(memory)
+		defer n.release(c)
 		defer cancel()
 		defer n.aggregated.remove(key)
 		defer n.panics.Recover("aggregate", q.RequestID, func() {
@@ -66,18 +65,23 @@
 	}()
 }
 
-// admitQuery returns a query as a call of this VM with the entry that holds its memory, or the
+// admitQuery returns a query as a call of this VM, for which release has to be called, or the
 // reason to decline it.
-func (n *Node) admitQuery(q *message.Query) (*call, intake.ID, string) {
+func (n *Node) admitQuery(q *message.Query) (*call, string) {
 	c, reason := n.acceptQuery(q)
 	if c == nil {
-		return nil, 0, reason
+		return nil, reason
 	}
-	memory, ok := n.callers.addRun(queryMemory(q))
+	if !n.reserveRun(c) {
+		return nil, errNoRunMemory.Error()
+	}
+	id, ok := n.callers.addRun(queryMemory(q))
 	if !ok {
-		return nil, 0, errNoCallerMemory.Error()
+		n.release(c)
+		return nil, errNoCallerMemory.Error()
 	}
-	return c, memory, ""
+	c.delegatedID = id
+	return c, ""
 }
 
 // queryMemory returns the memory that a query of another VM takes.
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -34,8 +34,8 @@
 )
 
 // callerConns holds the connections of callers and what they take. It closes those that are idle
-// for longer than the configuration allows, and notifies the callers of idle ones at a stop. The
-// limits may change while a connection is open. It is safe for concurrent use. Its methods must
+// for longer than the configuration allows, and notifies the callers of idle ones at a stop. That
+// limit may change while a connection is open. It is safe for concurrent use. Its methods must
 // not be called while the state of a connection is locked.
 type callerConns struct {
 	node *Node
@@ -51,13 +51,6 @@
 	return &callerConns{node: n, table: intake.New(limits), conns: make(map[intake.ID]*callerConn)}
 }
 
-// setLimits changes the limits of what callers may take.
-func (c *callerConns) setLimits(limits intake.Config) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table.SetConfig(limits)
-}
-
 // accept adds a connection, or refuses it and returns nil.
 func (c *callerConns) accept(raw *net.TCPConn) *callerConn {
 	c.mu.Lock()
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -9,6 +9,7 @@
 	"github.com/medlarswitch/medlarswitch/internal/feedsource"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
 	"github.com/medlarswitch/medlarswitch/internal/intake"
+	"github.com/medlarswitch/medlarswitch/internal/leafconn"
 	"github.com/medlarswitch/medlarswitch/internal/placement"
 )
 
@@ -29,16 +30,32 @@
 	ExtraLoad   extraload.Config
 	Placement   placement.Config
 	// Memory, in bytes, and Descriptors are those that the process may use; 0 means those of
-	// the smallest VM.
+	// the smallest VM. They do not change while the process runs.
 	Memory      int64
 	Descriptors int
 	// GracePeriod is the time from the stop signal to the kill.
 	GracePeriod time.Duration
 }
 
+// runsPart and repliesPart are the parts of the memory that runs and replies may take.
+const (
+	runsPart    = 1.0 / 5
+	repliesPart = 2.0 / 9
+)
+
+func (c *Config) memory() int64 { return cmp.Or(c.Memory, intake.DefaultMemory) }
+
 // intakeLimits returns the limits of what callers may take.
 func (c *Config) intakeLimits() intake.Config {
-	return intake.ConfigFor(cmp.Or(c.Memory, intake.DefaultMemory), cmp.Or(c.Descriptors, intake.DefaultDescriptors))
+	return intake.ConfigFor(c.memory(), cmp.Or(c.Descriptors, intake.DefaultDescriptors))
+}
+
+// runMemory returns the memory that runs may take while they wait for leaves, in bytes.
+func (c *Config) runMemory() int64 { return int64(runsPart * float64(c.memory())) }
+
+// replyMemory returns the memory that replies may take, in bytes.
+func (c *Config) replyMemory() int64 {
+	return min(leafconn.ReplyMemory, int64(repliesPart*float64(c.memory())))
 }
 
 // self returns this VM as other VMs see it.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/errs"
 	"github.com/medlarswitch/medlarswitch/internal/fleet"
+	"github.com/medlarswitch/medlarswitch/internal/intake"
 	"github.com/medlarswitch/medlarswitch/internal/leafconn"
 )
 
@@ -32,6 +33,10 @@
 	// path is the path that the route was found by.
 	path    string
 	request leafconn.Request
+	// memory is that of the run. delegatedID is the entry that holds the memory of a query of
+	// another VM; 0 if there is none.
+	memory      *leafconn.Reservation
+	delegatedID intake.ID
 	// fingerprint identifies the request, also in later attempts of its caller.
 	fingerprint uint64
 }
@@ -112,6 +117,11 @@
 		n.refuse(w, info, http.StatusServiceUnavailable, n.syncedIn(), "no leaves yet")
 		return
 	}
+	if !n.reserveRun(c) {
+		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errNoRunMemory.Error())
+		return
+	}
+	defer n.release(c)
 	if !n.execute(r.Context(), w, c) {
 		// The caller has left; aborting the handler closes the connection.
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -86,6 +86,7 @@
 // registerCallers adds what callers take.
 func (m *nodeMetrics) registerCallers(c *callerConns) {
 	metrics.NewRegisteredFunctionalGauge("caller_connections", m.registry, c.open)
+	metrics.NewRegisteredFunctionalGauge("run_memory_bytes", m.registry, c.node.runMemory.Taken)
 	metrics.NewRegisteredFunctionalGauge("caller_memory_bytes", m.registry, c.taken)
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -78,8 +78,9 @@
 	// storeEra is the latest known era of the store; 0 before one is stated.
 	storeEra atomic.Uint64
 
-	// replyMemory is the memory of leaves' replies.
-	replyMemory *leafconn.Memory
+	// replyMemory is the memory of leaves' replies, runMemory that of the runs which wait for
+	// them.
+	replyMemory, runMemory *leafconn.Memory
 	// callers holds the connections of callers.
 	callers *callerConns
 
@@ -120,13 +121,13 @@
 
 // New returns a node that does not serve yet.
 func New(config Config, store Store, codec Codec) *Node {
-	replyMemory := leafconn.NewMemory()
+	replyMemory := leafconn.NewMemory(config.replyMemory())
 	n := &Node{
 		config: config, store: store, codec: codec, started: time.Now(),
 		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry(), replyMemory),
 		directory: directory.New(), degraded: degraded.New(), table: placement.New(config.Placement),
 		budgets: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(), answerTimes: answertime.New(),
-		replyMemory: replyMemory, stopping: newStopping(), durations: drainplan.NewDurations(),
+		replyMemory: replyMemory, runMemory: leafconn.NewMemory(config.runMemory()), stopping: newStopping(), durations: drainplan.NewDurations(),
 		sources: feedsource.New(config.Source), aggregators: delegation.New(config.self()),
 		idleLimits: make(map[fleet.ServiceName]*leafconn.IdleLimit),
 		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, hedgeDelays: latency.NewShardTable(), pools: make(map[fleet.LeafID]*leafPool),
@@ -230,6 +231,7 @@
 			return !ok
 		})
 		n.replyMemory.SetRoutes(len(c.Routes))
+		n.runMemory.SetRoutes(len(c.Routes))
 		n.limitPools()
 		n.activeConfiguration.Store(c)
 	case directory.KindLeaves:
@@ -295,7 +297,6 @@
 	n.table.SetConfig(config.Placement)
 	n.sources.SetConfig(config.Source)
 	n.linkPeers()
-	n.callers.setLimits(config.intakeLimits())
 	n.gracePeriod.Store(int64(config.GracePeriod))
 	klog.InfoS("Settings reloaded", "extraRatio", config.ExtraLoad.Ratio, "extraSlack", config.ExtraLoad.Slack,
 		"coldFactor", config.Placement.ColdFactor, "coldSlack", config.Placement.ColdSlack, "grace", config.GracePeriod)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,6 +48,23 @@
 	freeMove bool
 }
 
+// runMemoryPerShard is the memory that a run takes for each shard while it waits for replies, in
+// bytes: the stack of a goroutine and the state of a leaf request.
+const runMemoryPerShard = 8 << 10
+
+// reserveRun takes the memory of the run of a call until release, and returns false if its route
+// has none left.
+func (n *Node) reserveRun(c *call) bool {
+	c.memory = n.runMemory.Reserve(c.route.Name, 1)
+	return c.memory.Resize(runMemoryPerShard*int64(max(len(c.route.Shards), 1))) == nil
+}
+
+// release returns the memory of the run of a call, and that of a query of another VM.
+func (n *Node) release(c *call) {
+	c.memory.Release()
+	n.callers.remove(c.delegatedID)
+}
+
 // execute runs a call at the leaves and answers it. It returns false, without
 // an answer, when the context was cancelled because the caller left.
 func (n *Node) execute(ctx context.Context, w http.ResponseWriter, c *call) bool {
--- a/internal/intake/config.go
+++ b/internal/intake/config.go
@@ -24,10 +24,11 @@
 // leaves and other VMs.
 const reservedDescriptors = 200
 
-// Of the memory of a VM, a quarter is for connections of callers and an eighth is shared by their
-// requests. The rest is for replies, the copies of the configuration and the garbage collector.
+// Of the memory of a VM, a sixth is for connections of callers and an eighth is shared by their
+// requests while they arrive and run. The rest is for runs, replies, the copies of the configuration
+// and the garbage collector.
 const (
-	connectionsPart = 4
+	connectionsPart = 6
 	requestsPart    = 8
 )
 
--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -49,9 +49,6 @@
 // New returns a table without callers.
 func New(config Config) *Table { return &Table{config: config, callers: make(map[ID]*caller)} }
 
-// SetConfig changes the limits. What has been taken stays taken.
-func (t *Table) SetConfig(config Config) { t.config = config }
-
 // Connect adds a new connection and returns true, or returns false if there are too many. It may
 // first evict another caller, which has to be disconnected then.
 func (t *Table) Connect(now time.Duration, id ID) (evicted []ID, ok bool) {
--- a/internal/leafconn/body.go
+++ b/internal/leafconn/body.go
@@ -47,7 +47,7 @@
 
 // read reads a body as a whole. The body is not closed, as that would read the rest of it.
 func (b body) read(resp *http.Response) ([]byte, error) {
-	return bodyread.ReadAll(resp.Body, resp.ContentLength, b.limit, func(size int64) error { return b.memory.resize(b.headBytes + size) })
+	return bodyread.ReadAll(resp.Body, resp.ContentLength, b.limit, func(size int64) error { return b.memory.Resize(b.headBytes + size) })
 }
 
 // copyBuffers holds buffers of copyTo.
@@ -65,7 +65,7 @@
 		if _, err := sink.Write(buf[:n]); err != nil {
 			return err
 		}
-		if err := b.memory.resize(sink.Kept()); err != nil {
+		if err := b.memory.Resize(sink.Kept()); err != nil {
 			return err
 		}
 		total += int64(n)
--- a/internal/leafconn/limited_reader.go
+++ b/internal/leafconn/limited_reader.go
@@ -53,7 +53,7 @@
 	l.heardAt = time.Now()
 	if l.head != nil {
 		l.headBytes += headMemoryFactor * int64(n)
-		if err := l.head.resize(l.headBytes); err != nil {
+		if err := l.head.Resize(l.headBytes); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/leafconn/memory.go
+++ b/internal/leafconn/memory.go
@@ -9,24 +9,24 @@
 	"github.com/medlarswitch/medlarswitch/internal/memshare"
 )
 
-// memoryLimit limits the memory of all replies that a VM keeps, from their first byte to
+// ReplyMemory limits the memory of all replies that a VM keeps, from their first byte to
 // their last use. A small VM has 184 MB, and the garbage collector lets the heap grow to
 // twice the memory in use. A quarter, which one route can always have, holds the longest
 // reply.
-const memoryLimit = 40 << 20
+const ReplyMemory = 40 << 20
 
-// errNoMemory is returned when a reply cannot be kept because of the memory that the replies
-// of its route take.
-var errNoMemory = errors.New("the replies of the route take too much memory")
+// errNoMemory is returned when there is no memory because of what the route takes already.
+var errNoMemory = errors.New("the route takes too much memory")
 
-// Memory is the memory of the replies that a VM keeps. It is safe for concurrent use.
+// Memory is memory that routes share, such as that of the replies that a VM keeps. It is safe
+// for concurrent use.
 type Memory struct {
 	mu    sync.Mutex
 	table *memshare.Table
 }
 
-// NewMemory returns a memory of which nothing is taken.
-func NewMemory() *Memory { return &Memory{table: memshare.New(memoryLimit)} }
+// NewMemory returns a memory of limit bytes of which nothing is taken.
+func NewMemory(limit int64) *Memory { return &Memory{table: memshare.New(limit)} }
 
 // SetRoutes sets the number of routes that share the memory.
 func (m *Memory) SetRoutes(n int) {
@@ -42,7 +42,7 @@
 	return m.table.Taken()
 }
 
-// Reservation is the memory that one exchange takes. It has several users, such as the
+// Reservation is the memory that one exchange or run takes. It has several users, such as the
 // exchange and the run that merges its reply; the last one that releases it returns the
 // memory. Taking memory is not safe for concurrent use. A nil Reservation has no limit.
 type Reservation struct {
@@ -52,16 +52,16 @@
 	users  atomic.Int32
 }
 
-// Reserve returns a reservation for an exchange of a route.
+// Reserve returns a reservation for a route, which has taken nothing yet.
 func (m *Memory) Reserve(route string, users int32) *Reservation {
 	r := &Reservation{memory: m, route: route}
 	r.users.Store(users)
 	return r
 }
 
-// resize changes the memory that is taken to a number of bytes, or returns errNoMemory and
+// Resize changes the memory that is taken to a number of bytes, or returns an error and
 // changes nothing.
-func (r *Reservation) resize(bytes int64) error {
+func (r *Reservation) Resize(bytes int64) error {
 	if r == nil || bytes == r.bytes {
 		return nil
 	}
