Bound the connections to leaves that running requests need

What callers saw: many ordinary queries at a time took all descriptors of a VM while leaves were slow, since each shard of each needs a connection.

Cause: connections are bounded for each leaf, not in sum over all leaves.

Callers have a third of the descriptors instead of half (1,300 connections), so that idle connections to leaves and other VMs have the rest. The test counts descriptors during the crowd, too, and keeps the greatest number.

--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -73,7 +73,7 @@
 		return nil, reason
 	}
 	if !n.reserveRun(c) {
-		return nil, errNoRunMemory.Error()
+		return nil, errNoRunRoom.Error()
 	}
 	id, ok := n.callers.addRun(queryMemory(q))
 	if !ok {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,9 +33,10 @@
 	// path is the path that the route was found by.
 	path    string
 	request leafconn.Request
-	// memory is that of the run. delegatedID is the entry that holds the memory of a query of
+	// memory and slots are those of the run. delegatedID is the entry that holds the memory of a query of
 	// another VM; 0 if there is none.
 	memory      *leafconn.Reservation
+	slots       int
 	delegatedID intake.ID
 	// fingerprint identifies the request, also in later attempts of its caller.
 	fingerprint uint64
@@ -118,7 +119,7 @@
 		return
 	}
 	if !n.reserveRun(c) {
-		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errNoRunMemory.Error())
+		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errNoRunRoom.Error())
 		return
 	}
 	defer n.release(c)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -81,6 +81,8 @@
 	// replyMemory is the memory of leaves' replies, runMemory that of the runs which wait for
 	// them.
 	replyMemory, runMemory *leafconn.Memory
+	// runSlots bounds the connections to leaves that runs need.
+	runSlots *runSlots
 	// callers holds the connections of callers.
 	callers *callerConns
 
@@ -127,7 +129,7 @@
 		drain: lifecycle.NewDrain(), metrics: newNodeMetrics(metrics.NewRegistry(), replyMemory),
 		directory: directory.New(), degraded: degraded.New(), table: placement.New(config.Placement),
 		budgets: extraload.New(config.ExtraLoad), splitter: fleet.NewSplitter(), answerTimes: answertime.New(),
-		replyMemory: replyMemory, runMemory: leafconn.NewMemory(config.runMemory()), stopping: newStopping(), durations: drainplan.NewDurations(),
+		replyMemory: replyMemory, runMemory: leafconn.NewMemory(config.runMemory()), runSlots: newRunSlots(config.intakeLimits().LeafRequests), stopping: newStopping(), durations: drainplan.NewDurations(),
 		sources: feedsource.New(config.Source), aggregators: delegation.New(config.self()),
 		idleLimits: make(map[fleet.ServiceName]*leafconn.IdleLimit),
 		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, hedgeDelays: latency.NewShardTable(), pools: make(map[fleet.LeafID]*leafPool),
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -19,9 +19,9 @@
 // callers.
 var errNoCallerMemory = errors.New("the requests of callers take too much memory")
 
-// errNoRunMemory is the reason to refuse a request while others of its route that run take all
-// memory that they may.
-var errNoRunMemory = errors.New("the running requests of the route take too much memory")
+// errNoRunRoom is the reason to refuse a request while others that run take all memory or
+// connections to leaves that they may.
+var errNoRunRoom = errors.New("too many requests run")
 
 // bodyError says why a body was not read, and how its request is refused.
 type bodyError struct {
--- a/internal/intake/config.go
+++ b/internal/intake/config.go
@@ -20,29 +20,39 @@
 	Patience = time.Second
 )
 
-// reservedDescriptors are those of files. Half of the others are for callers, the other half for
-// leaves and other VMs.
-const reservedDescriptors = 200
+// reservedDescriptors are those of files. Of the others, a third is for callers and half for the
+// leaf requests that run; the rest is for idle connections to leaves and for other VMs.
+const (
+	reservedDescriptors = 200
+	connectionsDivisor  = 3
+	leafRequestsDivisor = 2
+)
 
 // Of the memory of a VM, a sixth is for connections of callers and an eighth is shared by their
 // requests while they arrive and run. The rest is for runs, replies, the copies of the configuration
 // and the garbage collector.
 const (
-	connectionsPart = 6
-	requestsPart    = 8
+	connectionMemoryDivisor = 6
+	requestsDivisor         = 8
 )
 
 // Config limits what callers may take.
 type Config struct {
 	// Connections is the number of connections that may be open.
 	Connections int
+	// LeafRequests is the number of leaf requests that may run at a time.
+	LeafRequests int
 	// Memory is the shared memory, in bytes.
 	Memory int64
 }
 
 // ConfigFor returns the limits of a VM with the given memory, in bytes, and descriptors.
 func ConfigFor(memory int64, descriptors int) Config {
-	byMemory := memory / connectionsPart / ConnectionMemory
-	byDescriptors := int64(descriptors-reservedDescriptors) / 2
-	return Config{Connections: int(max(min(byMemory, byDescriptors), 1)), Memory: memory / requestsPart}
+	byMemory := memory / connectionMemoryDivisor / ConnectionMemory
+	sockets := max(descriptors-reservedDescriptors, 0)
+	return Config{
+		Connections:  max(min(int(byMemory), sockets/connectionsDivisor), 1),
+		LeafRequests: max(sockets/leafRequestsDivisor, 1),
+		Memory:       memory / requestsDivisor,
+	}
 }
--- a/internal/intake/table_test.go
+++ b/internal/intake/table_test.go
@@ -168,13 +168,15 @@
 func TestLimitsOfVMs(t *testing.T) {
 	smallest := ConfigFor(DefaultMemory, DefaultDescriptors)
 	assert.Assert(t, smallest.Connections >= 1000)
-	assert.Equal(t, ConfigFor(284<<20, DefaultDescriptors).Connections, 1950)
+	assert.Equal(t, ConfigFor(284<<20, DefaultDescriptors).Connections, 1300)
+	// Ten queries to 180 shards, the most on any deployment, at a time.
+	assert.Assert(t, smallest.LeafRequests >= 10*180)
 	// Ten requests with a body of 256 KB and a head of 16 KB in short lines at a time.
 	assert.Assert(t, smallest.Memory >= 10*(2*256<<10+3000*256+2*16<<10))
 	for _, memory := range []int64{32 << 20, 64 << 20, 284 << 20, 536 << 20} {
 		for _, descriptors := range []int{256, 400, 4100, 8192} {
 			c := ConfigFor(memory, descriptors)
-			assert.Assert(t, c.Connections > 0 && c.Connections <= (descriptors-reservedDescriptors)/2)
+			assert.Assert(t, c.Connections > 0 && c.LeafRequests > 0 && c.Connections+c.LeafRequests < descriptors-reservedDescriptors)
 			assert.Assert(t, int64(c.Connections)*ConnectionMemory+c.Memory <= memory/2)
 		}
 	}
--- a/test/callers/queries_test.go
+++ b/test/callers/queries_test.go
@@ -12,3 +12,10 @@
 		{name: "delegated", request: ordinary, path: widePath, shards: largeShards},
 	})
 }
+
+// Guards against queries whose connections to leaves take all descriptors.
+func TestConnectionsToLeaves(t *testing.T) {
+	runRows(t, descriptorCrowd, fewDescriptors, false, []row{
+		{name: "ordinary queries", request: ordinary, path: widePath, shards: largeShards},
+	})
+}
--- a/test/callers/vm_test.go
+++ b/test/callers/vm_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +55,22 @@
 	admin   string
 	limits  vmLimits
 	process *harness.Process
+	// peakDescriptors is the greatest number of open descriptors that was seen.
+	peakDescriptors atomic.Int64
+}
+
+// sampleInterval is the time between two counts of open descriptors.
+const sampleInterval = 5 * time.Millisecond
+
+// sampleDescriptors counts the open descriptors until the process ends.
+func (v *vm) sampleDescriptors() {
+	for v.process.Running() {
+		// An error means that the process has ended.
+		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.process.PID())); err == nil {
+			v.peakDescriptors.Store(max(v.peakDescriptors.Load(), int64(len(entries))))
+		}
+		time.Sleep(sampleInterval)
+	}
 }
 
 // startVM starts a VM that reads the store and waits until it is ready.
@@ -67,6 +84,7 @@
 	process, err := harness.StartProcess(dir, name, program, "--settings", path)
 	assert.NilError(t, err)
 	v.process = process
+	go v.sampleDescriptors()
 	t.Cleanup(func() {
 		process.Kill()
 		if t.Failed() {
@@ -105,10 +123,10 @@
 func (v *vm) check() {
 	v.t.Helper()
 	assert.Assert(v.t, v.process.Running(), "%s has ended", v.name)
-	peak, open := v.peakMemory(), v.openDescriptors()
-	v.t.Logf("%s: peak memory %d of %d MB, %d of %d descriptors", v.name, peak>>20, v.limits.memory>>20, open, v.limits.descriptors)
+	peak, open := v.peakMemory(), int(v.peakDescriptors.Load())
+	v.t.Logf("%s: peak memory %d of %d MB, peak %d of %d descriptors", v.name, peak>>20, v.limits.memory>>20, open, v.limits.descriptors)
 	assert.Check(v.t, peak <= v.limits.memory, "%s took %d MB of %d MB", v.name, peak>>20, v.limits.memory>>20)
-	assert.Check(v.t, open <= v.limits.descriptors, "%s has %d descriptors of %d", v.name, open, v.limits.descriptors)
+	assert.Check(v.t, open <= v.limits.descriptors, "%s had %d descriptors of %d", v.name, open, v.limits.descriptors)
 }
 
 // peakMemory returns the greatest resident memory of the process so far, in bytes.
@@ -126,12 +144,6 @@
 	return 0
 }
 
-func (v *vm) openDescriptors() int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.process.PID()))
-	assert.NilError(v.t, err)
-	return len(entries)
-}
-
 // waitTimeout bounds a wait for a state that is reached sooner on any machine.
 const waitTimeout = time.Minute
 
