--- a/internal/gateway/panics.go
+++ b/internal/gateway/panics.go
@@ -21,37 +21,6 @@
 // was being changed.
 var errStateInDoubt = errors.New("the state may be inconsistent after a panic")
 
-// startedWriter notes whether an answer was started, and announces the close of the connection
-// if the VM has begun to stop by then: a caller that does not know of it may send its next
-// request while net/http closes the connection.
-type startedWriter struct {
-	http.ResponseWriter
-	draining func() bool
-	started  bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *startedWriter) WriteHeader(status int) {
-	w.start()
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *startedWriter) Write(p []byte) (int, error) {
-	w.start()
-	return w.ResponseWriter.Write(p)
-}
-
-func (w *startedWriter) start() {
-	if !w.started && w.draining() {
-		w.Header().Set("Connection", "close")
-	}
-	w.started = true
-}
-
-// Unwrap returns the writer for http.ResponseController.
-func (w *startedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
 // recoverRequest answers a caller whose request caused a panic with 500, which does not
 // say whether the request ran. It must be deferred directly.
 func (n *Node) recoverRequest(w *startedWriter, info *RequestInfo) {
--- a/test/callers/crowd_test.go
+++ b/test/callers/crowd_test.go
@@ -26,20 +26,26 @@
 // writeTimeout bounds the write of a caller whose connection is not read.
 const writeTimeout = 20 * time.Second
 
-// startCrowd connects callers. Each writes the text that request returns, except for the last
-// withheld bytes, in pieces of the given size, or at once if that is 0.
-func startCrowd(t *testing.T, address string, callers int, request func() string, withheld, piece int) *crowd {
+// unreadBufferBytes is the size of the receive buffer of a caller that does not read.
+const unreadBufferBytes = 4096
+
+// startCrowd connects callers, each of which sends the request of a row.
+func startCrowd(t *testing.T, address string, callers int, r row) *crowd {
 	c := &crowd{}
 	t.Cleanup(c.leave)
 	for range callers {
 		conn, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
 		c.conns = append(c.conns, conn)
-		text := request()
-		text = text[:max(len(text)-withheld, 0)]
-		// The answers are not of interest, but reading them lets the VM send them.
-		go func() { _, _ = io.Copy(io.Discard, conn) }()
-		c.sent.Go(func() { writePieces(conn, text, piece) })
+		text := r.request(r.path)
+		text = text[:max(len(text)-r.withheld, 0)]
+		if r.unread {
+			assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(unreadBufferBytes))
+		} else {
+			// The answers are not of interest, but reading them lets the VM send them.
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+		c.sent.Go(func() { writePieces(conn, text, r.piece) })
 	}
 	return c
 }
--- a/test/callers/delegated_test.go
+++ b/test/callers/delegated_test.go
@@ -25,8 +25,8 @@
 // keeps within its own.
 func TestQueriesOfManyVMs(t *testing.T) {
 	for _, row := range []row{
-		{name: "short header lines", request: shortLines},
-		{name: "bodies", request: withBody},
+		{name: "short header lines", request: shortLines, path: widePath},
+		{name: "bodies", request: withBody, path: widePath},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			s := startService(t, defaultShards)
@@ -35,13 +35,13 @@
 			for i := range delegatingVMs {
 				v := startVM(t, fmt.Sprintf("vm-%d", i+1), s.store.Addr(), 0.4, smallMemory)
 				waitDelegated(t, v)
-				waitServed(t, v, widePath, row.request)
+				waitServed(t, v, row.path, row.request)
 				vms = append(vms, v)
 			}
 			release := s.hold()
 			var crowds []*crowd
 			for _, v := range vms[1:] {
-				crowds = append(crowds, startCrowd(t, v.callers, memoryCrowd/delegatingVMs, func() string { return row.request(widePath) }, 0, 0))
+				crowds = append(crowds, startCrowd(t, v.callers, memoryCrowd/delegatingVMs, row))
 			}
 			for _, c := range crowds {
 				c.sent.Wait()
--- a/test/callers/row_test.go
+++ b/test/callers/row_test.go
@@ -19,11 +19,12 @@
 )
 
 // Paths of the crowds' requests: one leaf runs those of singlePath, and a leaf of each shard
-// those of widePath. No route has nonePath.
+// those of widePath. One leaf answers those of longPath, at length. No route has nonePath.
 const (
 	ordinaryPath = "/one/x"
 	singlePath   = "/order/x"
 	widePath     = "/wide/x"
+	longPath     = "/long/x"
 	nonePath     = "/none/x"
 )
 
@@ -37,6 +38,8 @@
 	shards int
 	// withheld is the number of bytes at its end that the crowd does not send, at most all.
 	withheld int
+	// unread is true if the callers do not read their answers.
+	unread bool
 	// piece is the number of bytes that a caller sends at a time; 0 means all.
 	piece int
 }
@@ -71,7 +74,7 @@
 	}
 	check()
 	release := s.hold()
-	c := startCrowd(t, vms[0].callers, callers, func() string { return r.request(r.path) }, r.withheld, r.piece)
+	c := startCrowd(t, vms[0].callers, callers, r)
 	c.sent.Wait()
 	check()
 	release()
--- a/test/callers/service_test.go
+++ b/test/callers/service_test.go
@@ -30,9 +30,10 @@
 	t.Cleanup(s.store.Close)
 	s.startLeaf(t, "single", nil)
 	s.held = append(s.held, s.startLeaf(t, "orders", nil))
+	s.startLeaf(t, "long", []byte(strings.Repeat("a", unreadAnswerBytes)))
 	record := []byte(strings.Repeat("r", 16))
 	var names []string
-	services := []map[string]any{serviceEntry("single"), serviceEntry("orders")}
+	services := []map[string]any{serviceEntry("single"), serviceEntry("orders"), serviceEntry("long")}
 	for i := range shards {
 		name := fmt.Sprintf("shard-%d", i)
 		names = append(names, name)
@@ -44,6 +45,7 @@
 		"routes": []map[string]any{
 			routeEntry("one", "idempotent", map[string]any{"service": "single"}),
 			routeEntry("order", "non_idempotent", map[string]any{"service": "orders"}),
+			routeEntry("long", "idempotent", map[string]any{"service": "long"}),
 			routeEntry("wide", "idempotent", map[string]any{"gather": names, "top_k": 5, "min_coverage": 0.8}),
 		},
 		"limits": map[string]any{"max_header_bytes": maxHeaderBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
