Take an answer whose status HTTP does not define for none

What callers saw: while a leaf answered with status 000, a request to it got 504 when all of its time was over, and no second leaf got it before.

Cause: net/http accepts any three digits. The exchange took a status below 200 for an interim reply and waited for the final one; the bytes of the body stayed on the connection. A status of 600 or more passed as a failure that the leaf had signed.

Change: a status outside of 100 to 599 is no reply: the connection is lost, so that it is not used again, a request that may be repeated moves to another leaf and one that may not gets 502, as it may have run.

--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -20,6 +20,10 @@
 	// maxFramedBodyBytes limits the bytes of a body with its chunk headers, which may
 	// be as long as the data of small chunks.
 	maxFramedBodyBytes = 2*maxReplyBytes + maxHeadBytes
+	// minStatus and maxStatus are the least and the greatest status that HTTP defines. net/http
+	// accepts any three digits.
+	minStatus = 100
+	maxStatus = 599
 	// maxStrayReplies limits the replies to other requests that are skipped.
 	maxStrayReplies = 4
 )
@@ -32,6 +36,9 @@
 	// errTooManyStrays is returned when too many replies on a connection belong to
 	// other requests.
 	errTooManyStrays = errors.New("too many replies to other requests")
+	// errNoStatus is returned for a reply whose status HTTP does not define. It is no reply, and
+	// where it ends is not known.
+	errNoStatus = errors.New("the status of the reply is none")
 	// errUnnamedReply is returned for a reply that may belong to an earlier request.
 	errUnnamedReply = errors.New("the reply names no request, but earlier ones on the connection did")
 )
@@ -125,6 +132,9 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+			return nil, false, errors.Wrapf(errNoStatus, "%03d", resp.StatusCode)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
