Limit the messages that callers send to an entry

What callers saw: nothing yet; found by looking for the class of the crowds at the product's own interface.

Cause: the Connect handler had no limit of a message, so that one request without end, or one of a few KB that is long once it is decompressed, could take all memory of medlar-entry. Headers could have 1 MB and idle connections stayed open for ever.

Change: a message has 4 MiB at most, which is what fits into a frame, headers 64 KB; connections close after two minutes idle.

Not bounded: their sum over all callers, and the time that a body takes.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"k8s.io/klog/v2"
 
 	medlarv1 "github.com/medlarswitch/medlarswitch/gen/medlar/v1"
@@ -22,6 +23,12 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
+	// idleTimeout limits the time between two requests on a connection of a caller.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes limits the headers of a request, maxRequestBytes its message, also once it
+	// is decompressed: a longer one does not fit into a frame to a relay.
+	maxHeaderBytes  = 64 << 10
+	maxRequestBytes = wire.MaxFrameBytes
 	// ticketExpiryInterval is how often expired tickets are dropped.
 	ticketExpiryInterval = time.Second
 )
@@ -84,14 +91,21 @@
 	go s.policy.run(work)
 	go s.submits.run(work)
 	go func() { _ = s.frames.Serve(work, ln.Frames) }()
-	mux := http.NewServeMux()
-	mux.Handle(medlarv1connect.NewQueryServiceHandler(s))
-	callers := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	callers := s.callerServer()
 	go func() { _ = callers.Serve(ln.Callers) }()
 	<-ctx.Done()
 	return s.stop(callers)
 }
 
+// callerServer returns the server for callers.
+func (s *Server) callerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(medlarv1connect.NewQueryServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes)))
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // stop drains the entry. The process is no longer ready, by which the load balancer
 // removes it; requests that still arrive during the drain delay are served.
 func (s *Server) stop(callers *http.Server) error {
