Play crowds of callers in the soak

The nodes have 64 MB and 400 descriptors, so that a crowd exceeds what callers may take. All checks of the soak apply beside them: no request is run that no caller sent, refusals are true, and no connection is closed on which a request was read.

--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -33,6 +33,8 @@
 extra_window = "10s"
 cold_factor = 1.5
 cold_slack = 5
+memory_mb = 64
+descriptors = 400
 log_verbosity = 0
 `
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,8 +2,8 @@
 // that a seed determines. It then checks the invariants of docs/invariants.md
 // against the requests that callers and leaves recorded. Faults are external:
 // signals to processes; forwarders in front of the store, the seed nodes and the
-// leaves; a store that is down, has stalled watches or lost its history; and faulty
-// leaves. Connections from a VM to its aggregator have no forwarder. They become
+// leaves; a store that is down, has stalled watches or lost its history; faulty
+// leaves; and crowds of callers that do not end their requests. Connections from a VM to its aggregator have no forwarder. They become
 // unresponsive when a process is paused.
 //
 //	go test ./test/soak                               the regression seeds, and fresh ones for a minute
@@ -137,8 +137,10 @@
 	}()
 	restored := make(chan string, 1)
 	go func() { restored <- s.injectRestore(rand.New(rand.NewPCG(seed, math.MaxUint64-1))) }()
+	crowds := make(chan string, 1)
+	go func() { crowds <- s.injectCrowds(rand.New(rand.NewPCG(seed, math.MaxUint64-2))) }()
 	injected := s.injectFaults(rand.New(rand.NewPCG(seed, 0)))
-	injected = append(injected, <-restored)
+	injected = append(injected, <-restored, <-crowds)
 	<-stated
 	recoveryErr := s.checkRecovery()
 	cancel()
