--- a/internal/gateway/head_memory.go
+++ b/internal/gateway/head_memory.go
@@ -3,12 +3,11 @@
 import (
 	"bytes"
 	"net/http"
+
+	"github.com/medlarswitch/medlarswitch/internal/leafconn"
 )
 
 const (
-	// lineMemory is the memory that a header line takes besides its bytes: its strings, its
-	// place in the parsed header and in the one that is forwarded.
-	lineMemory = 256
 	// headByteFactor is the memory that each byte of a head takes: it is parsed and encoded for
 	// the leaves.
 	headByteFactor = 2
@@ -19,7 +18,7 @@
 
 // partMemory returns the memory that a part of a head takes.
 func partMemory(part []byte) int64 {
-	return headByteFactor*int64(len(part)) + lineMemory*int64(bytes.Count(part, []byte("\n")))
+	return headByteFactor*int64(len(part)) + leafconn.LineMemory*int64(bytes.Count(part, []byte("\n")))
 }
 
 // headMemory returns the memory that a parsed head takes.
@@ -31,7 +30,7 @@
 func headerMemory(h http.Header) (memory int64) {
 	for name, values := range h {
 		for _, value := range values {
-			memory += lineMemory + headByteFactor*int64(len(name)+len(value))
+			memory += leafconn.LineMemory + headByteFactor*int64(len(name)+len(value))
 		}
 	}
 	return memory
--- a/internal/leafconn/limited_reader.go
+++ b/internal/leafconn/limited_reader.go
@@ -1,6 +1,7 @@
 package leafconn
 
 import (
+	"bytes"
 	"io"
 	"time"
 
@@ -15,6 +16,12 @@
 // the line, which is copied when it grows, and the parsed header.
 const headMemoryFactor = 3
 
+// LineMemory is the memory that a header line takes besides its bytes once it is parsed: its strings
+// and its place in the header, also in a copy of that.
+const LineMemory = 256
+
+var newLine = []byte{'\n'}
+
 // limitedReader limits the bytes that a leaf can make this VM read. Unlike an
 // io.LimitedReader, it returns an error at the limit, so that a cut reply never looks
 // complete.
@@ -52,7 +59,7 @@
 	}
 	l.heardAt = time.Now()
 	if l.head != nil {
-		l.headBytes += headMemoryFactor * int64(n)
+		l.headBytes += headMemoryFactor*int64(n) + LineMemory*int64(bytes.Count(b[:n], newLine))
 		if err := l.head.Resize(l.headBytes); err != nil {
 			return 0, err
 		}
