Limit the time of a head as the configuration says

Cause: header_timeout_ms was read and not used.

Change: housekeeping ends a head that has been arriving for longer than the limit and a margin of 2 s with a 408, which is true. The limit of 10 s stays for the time without a configuration.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -27,6 +27,8 @@
 	// that it will be. No further request is handled on it.
 	closing   bool
 	idleSince time.Time
+	// headSince is when the first part of a head arrived; zero while none arrives.
+	headSince time.Time
 	// readingBody is true while the handler reads a body, evicted once that was ended to make
 	// room for other callers.
 	readingBody, evicted bool
@@ -59,6 +61,9 @@
 		c.mu.Unlock()
 		return true
 	}
+	if c.headSince.IsZero() {
+		c.headSince = time.Now()
+	}
 	c.headMemory += cost
 	total := c.headMemory
 	c.mu.Unlock()
@@ -72,6 +77,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = c.busy || !c.closing
+	c.headSince = time.Time{}
 	return !c.closing
 }
 
@@ -161,6 +167,13 @@
 	return !c.busy && !c.idleSince.IsZero() && !c.idleSince.After(since)
 }
 
+// isHeadSince reports whether a head has been arriving since a time or longer.
+func (c *callerConn) isHeadSince(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.busy && !c.headSince.IsZero() && !c.headSince.After(since)
+}
+
 // closeIdle closes the connection unless a request has begun in the meantime.
 func (c *callerConn) closeIdle(since time.Time) {
 	c.mu.Lock()
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -19,10 +19,9 @@
 	// maxHeaderBytes limits a request's headers, independent of the
 	// configuration, which may not be known yet.
 	maxHeaderBytes = 64 << 10
-	// idleTimeoutMargin is added to the configured idle timeout of callers'
-	// connections, so that a request that is sent within the timeout does not
-	// race with the close.
-	idleTimeoutMargin = 2 * time.Second
+	// timeoutMargin is added to the configured timeouts of callers' connections, so
+	// that a request that is sent within one does not race with the close.
+	timeoutMargin = 2 * time.Second
 	// refusalTimeout limits the write of a refusal to a new connection, whose send buffer is
 	// empty.
 	refusalTimeout = 50 * time.Millisecond
@@ -34,7 +33,7 @@
 )
 
 // callerConns holds the connections of callers and what they take. It closes those that are idle
-// for longer than the configuration allows, and notifies the callers of idle ones at a stop. That
+// or send a head for longer than the configuration allows, and notifies the callers of idle ones at a stop. That
 // limit may change while a connection is open. It is safe for concurrent use. Its methods must
 // not be called while the state of a connection is locked.
 type callerConns struct {
@@ -205,16 +204,21 @@
 	return int64(c.table.Connections())
 }
 
-// closeIdle closes the connections whose idle timeout has expired.
-func (c *callerConns) closeIdle(now time.Time) {
+// closeExpired closes the connections whose idle timeout has expired, and those on which a head
+// has been arriving for longer than it may.
+func (c *callerConns) closeExpired(now time.Time) {
 	conf := c.node.activeConfiguration.Load()
-	if conf == nil || conf.Limits.IdleTimeout <= 0 {
+	if conf == nil {
 		return
 	}
-	since := now.Add(-conf.Limits.IdleTimeout - idleTimeoutMargin)
+	idle, head := conf.Limits.IdleTimeout, conf.Limits.HeaderTimeout
 	for _, conn := range c.all() {
-		if conn.isIdleSince(since) {
-			conn.closeIdle(since)
+		switch idleSince := now.Add(-idle - timeoutMargin); {
+		case head > 0 && conn.isHeadSince(now.Add(-head-timeoutMargin)):
+			// A caller that does not read must not delay the others.
+			go conn.evict()
+		case idle > 0 && conn.isIdleSince(idleSince):
+			conn.closeIdle(idleSince)
 		}
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -26,7 +26,8 @@
 	// stopMargin is the part of the grace period that is reserved for exiting
 	// before the kill.
 	stopMargin = 300 * time.Millisecond
-	// headerTimeout limits the time to read a request's headers.
+	// headerTimeout limits the time to read a request's headers, independent of the
+	// configuration, which may not be known yet.
 	headerTimeout = 10 * time.Second
 	// housekeepingInterval is the time between two runs of housekeeping.
 	housekeepingInterval = 200 * time.Millisecond
@@ -135,7 +136,7 @@
 	return mux
 }
 
-// housekeep periodically closes idle connections of callers, expires entries,
+// housekeep periodically closes connections of callers that are idle or slow, expires entries,
 // probes unreachable zones, and logs pauses of the process and states that limit the
 // service.
 func (n *Node) housekeep(ctx context.Context, connections *callerConns) {
@@ -148,7 +149,7 @@
 			klog.ErrorS(nil, "Paused", "for", now-last)
 		}
 		last = now
-		connections.closeIdle(time.Now())
+		connections.closeExpired(time.Now())
 		if now-lastReport >= degradedInterval {
 			lastReport = now
 			n.reportDegraded()
