Tell callers of a VM with too many runs to return later

A request that is refused since too many run got the time for another VM (5 ms), although all VMs are as busy then: it gets 40 ms, as after leaves have shed it. The mark of an evicted body is cleared with the next one of its connection; a later body that came too late was answered with 503 instead of 408. Both are true.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -107,7 +107,7 @@
 func (c *callerConn) beginBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readingBody = true
+	c.readingBody, c.evicted = true, false
 }
 
 // endBody is called when the handler has read a body, and reports whether that was ended to make
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -33,9 +33,9 @@
 )
 
 // callerConns holds the connections of callers and what they take. It closes those that are idle
-// or send a head for longer than the configuration allows, and notifies the callers of idle ones at a stop. That
-// limit may change while a connection is open. It is safe for concurrent use. Its methods must
-// not be called while the state of a connection is locked.
+// or send a head for longer than the configuration allows, and notifies the callers of idle ones
+// at a stop. The configuration may change while a connection is open. It is safe for concurrent
+// use. Its methods must not be called while the state of a connection is locked.
 type callerConns struct {
 	node *Node
 	// listener accepts the connections. It does not change once the node serves.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if !n.reserveRun(c) {
-		n.refuse(w, info, http.StatusServiceUnavailable, otherVMRetryAfter, errNoRunRoom.Error())
+		n.refuse(w, info, http.StatusServiceUnavailable, shedRetryAfter, errNoRunRoom.Error())
 		return
 	}
 	defer n.release(c)
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// shedRetryAfter is when a caller may retry after leaves shed its request:
-	// about the time in which a queue of a few requests empties.
+	// shedRetryAfter is when a caller may retry after leaves, or this VM, shed its
+	// request: about the time in which a queue of a few requests empties.
 	shedRetryAfter = 40 * time.Millisecond
 	// unreachableRetryAfter is when a caller may retry after no leaf was
 	// reachable: once the next probe has completed.
