Wait for the leaf's close in a test of idle timeouts

Trace: the test's leaf closes an idle connection after 300 ms, and the test sends the next request 400 ms after the last one. If the leaf's goroutine is more than 100 ms late, the connection is still open and the request is reset.

--- a/internal/leafconn/exchange_test.go
+++ b/internal/leafconn/exchange_test.go
@@ -288,11 +288,14 @@
 // so. Guards against idle connections that are counted on although they are closed.
 func TestIdleTimeoutIsLearned(t *testing.T) {
 	const timeout = 300 * time.Millisecond
+	closed := make(chan struct{}, 1)
 	pool, opened := fakeLeaf(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		for {
 			_ = c.SetReadDeadline(time.Now().Add(timeout))
 			id, _ := read(r)
 			if id == "" {
+				_ = c.Close()
+				closed <- struct{}{}
 				return
 			}
 			_, _ = io.WriteString(c, reply(id, "abc"))
@@ -301,7 +304,9 @@
 	for i := range 6 {
 		_, err := exchange(pool, strconv.Itoa(i), time.Second)
 		assert.NilError(t, err)
-		time.Sleep(timeout + 100*time.Millisecond)
+		// A busy machine may close later than after the timeout.
+		<-closed
+		time.Sleep(100 * time.Millisecond)
 	}
 	assert.Assert(t, opened.Load() >= 5)
 	_, err := exchange(pool, "last", time.Second)
