Keep connections of callers free of running requests

What callers saw: while requests to a slow leaf held all connections that a VM takes, new callers were refused for as long as these ran.

Cause: a connection cannot be closed for another one while its request runs, and nothing bounded how many run.

Change: requests of callers run on three quarters of the connections at most, shared among routes as memory is (memshare): one route has its part of the half that is divided and up to half of the rest. A request beyond that is refused at once with 503; its connection is idle then and can be closed for a new caller.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -50,6 +50,15 @@
 	return intake.ConfigFor(c.memory(), cmp.Or(c.Descriptors, intake.DefaultDescriptors))
 }
 
+// callerSharesPart is the part of the connections of callers on which requests may run. Others can
+// be closed for new ones.
+const callerSharesPart = 0.75
+
+// callerShares returns the number of connections of callers on which requests may run.
+func (c *Config) callerShares() int64 {
+	return int64(callerSharesPart * float64(c.intakeLimits().Connections))
+}
+
 // runMemory returns the memory that runs may take while they wait for leaves, in bytes.
 func (c *Config) runMemory() int64 { return int64(runsPart * float64(c.memory())) }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -99,6 +99,11 @@
 		n.refuseUnread(w, r, info, failure.status, failure.retryAfter, failure.Error())
 		return
 	}
+	if !n.callerShares.begin(route.Name) {
+		n.refuse(w, info, http.StatusServiceUnavailable, shedRetryAfter, errNoRunRoom.Error())
+		return
+	}
+	defer n.callerShares.end(route.Name)
 	c.request = leafconn.Request{
 		Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: n.codec.ForwardedHeader(r.Header),
 		Body: body, HasBody: r.ContentLength != 0 || len(body) > 0 || r.Header.Get("Content-Length") != "",
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -81,6 +81,8 @@
 	// replyMemory is the memory of leaves' replies, runMemory that of the runs which wait for
 	// them.
 	replyMemory, runMemory *leafconn.Memory
+	// callerShares bounds the requests of callers that run.
+	callerShares *callerShares
 	// runSlots bounds the connections to leaves that runs need.
 	runSlots *runSlots
 	// callers holds the connections of callers.
@@ -135,6 +137,7 @@
 		aggregated: aggregatedRuns{runs: make(map[aggregatedKey]context.CancelFunc)}, hedgeDelays: latency.NewShardTable(), pools: make(map[fleet.LeafID]*leafPool),
 	}
 	n.callers = newCallerConns(n, config.intakeLimits())
+	n.callerShares = newCallerShares(config.callerShares())
 	n.metrics.registerCallers(n.callers)
 	n.quarantine = newQuarantine(rand.Uint64())
 	n.doubt, n.membersListed, n.rejoin = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
@@ -234,6 +237,7 @@
 		})
 		n.replyMemory.SetRoutes(len(c.Routes))
 		n.runMemory.SetRoutes(len(c.Routes))
+		n.callerShares.setRoutes(len(c.Routes))
 		n.limitPools()
 		n.activeConfiguration.Store(c)
 	case directory.KindLeaves:
--- a/internal/memshare/doc.go
+++ b/internal/memshare/doc.go
@@ -9,5 +9,7 @@
 // the other half, a route may have as much as is left for others: one route at most half of
 // it, two a third each.
 //
+// It does the same for connections of callers, whose requests hold one each.
+//
 // The package has no clock, no I/O, no locks and no goroutines.
 package memshare
--- a/test/callers/request_test.go
+++ b/test/callers/request_test.go
@@ -13,8 +13,11 @@
 	maxBodyBytes   = 262144
 )
 
-// timeLimitMs is how long each caller waits.
-const timeLimitMs = 6000
+// timeLimitMs is how long each caller waits, patientTimeLimitMs how long those of patient do.
+const (
+	timeLimitMs        = 6000
+	patientTimeLimitMs = 300_000
+)
 
 var requestCount atomic.Int64
 
--- a/test/callers/row_test.go
+++ b/test/callers/row_test.go
@@ -19,12 +19,13 @@
 )
 
 // Paths of the crowds' requests: one leaf runs those of singlePath, and a leaf of each shard
-// those of widePath. One leaf answers those of longPath, at length. No route has nonePath.
+// those of widePath. The leaf of singlePath also runs those of patientPath. One leaf answers those of longPath, at length. No route has nonePath.
 const (
 	ordinaryPath = "/one/x"
 	singlePath   = "/order/x"
 	widePath     = "/wide/x"
 	longPath     = "/long/x"
+	patientPath  = "/patient/x"
 	nonePath     = "/none/x"
 )
 
--- a/test/callers/service_test.go
+++ b/test/callers/service_test.go
@@ -45,6 +45,7 @@
 		"routes": []map[string]any{
 			routeEntry("one", "idempotent", map[string]any{"service": "single"}),
 			routeEntry("order", "non_idempotent", map[string]any{"service": "orders"}),
+			routeEntry("patient", "non_idempotent", map[string]any{"service": "orders", "timeout_ms": patientTimeLimitMs}),
 			routeEntry("long", "idempotent", map[string]any{"service": "long"}),
 			routeEntry("wide", "idempotent", map[string]any{"gather": names, "top_k": 5, "min_coverage": 0.8}),
 		},
