--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -138,6 +138,7 @@
 	c.closeUnlessBusy()
 }
 
+// closeUnlessBusy closes the connection unless a request is handled.
 func (c *callerConn) closeUnlessBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -120,20 +120,22 @@
 	}
 }
 
-// send records that a part of a request has arrived, run that all of it has.
+// send records that a part of a request has arrived.
 func (c *callerConns) send(id intake.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Send(c.node.now(), id)
 }
 
+// run records that the whole request has arrived.
 func (c *callerConns) run(id intake.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Run(c.node.now(), id)
 }
 
-// refuseHead refuses a request before its head has arrived as a whole.
+// refuseHead refuses a request before its head has arrived as a whole, and waits for the rest of it
+// for lingerTime.
 func (c *callerConns) refuseHead(conn *callerConn) {
 	c.node.metrics.callersRefused.Inc(1)
 	klog.ErrorS(nil, "Refused the head of a request", "caller", conn.RemoteAddr(), "why", "the requests of callers take too much memory")
@@ -177,12 +179,14 @@
 	}
 }
 
+// rest records that the caller has its answer.
 func (c *callerConns) rest(id intake.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Rest(c.node.now(), id)
 }
 
+// remove removes a caller and returns what it has taken.
 func (c *callerConns) remove(id intake.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,14 +194,14 @@
 	delete(c.conns, id)
 }
 
-// taken returns the shared memory that callers take, in bytes, and open the number of their
-// connections.
+// taken returns the shared memory that callers take, in bytes.
 func (c *callerConns) taken() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.Taken()
 }
 
+// open returns the number of connections.
 func (c *callerConns) open() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,8 +33,8 @@
 	// path is the path that the route was found by.
 	path    string
 	request leafconn.Request
-	// memory and slots are those of the run. delegatedID is the entry that holds the memory of a query of
-	// another VM; 0 if there is none.
+	// memory and slots are those of the run. delegatedID is the entry that holds the memory of
+	// a query of another VM; 0 if there is none.
 	memory      *leafconn.Reservation
 	slots       int
 	delegatedID intake.ID
