--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -67,8 +67,9 @@
 	// failing is true after a call failed or returned data that is too old,
 	// until a call succeeds. Meanwhile further failed calls are not logged.
 	failing bool
-	// overdue is true after a watch that the store did not answer, until a call succeeds.
-	overdue bool
+	// retried is true after a watch at the store that was called again at once, until a call
+	// succeeds.
+	retried bool
 	// source is the source of the last call, once called is true.
 	source feedsource.Source
 	called bool
@@ -123,19 +124,19 @@
 		if source.IsStore() {
 			f.node.relistOthers(f)
 		}
-	case f.isFirstOverdueWatch(source, err):
-		klog.InfoS("Watch overdue, calling again", "kind", f.kind, "revision", f.position.Revision, "waited", time.Since(began))
-		f.overdue = true
+	case ctx.Err() == nil && f.isFirstFailedWatch(source):
+		klog.InfoS("Watch not answered, calling again", "kind", f.kind, "revision", f.position.Revision, "waited", time.Since(began), "err", err)
+		f.retried = true
 	case ctx.Err() == nil:
 		f.recordFailure(source, err, time.Since(began))
 	}
 }
 
-// isFirstOverdueWatch reports whether a call was a watch that the store has not answered,
-// and the one before it was not. The store may be well: it does not answer a watch that it
-// has stalled.
-func (f *follower) isFirstOverdueWatch(source feedsource.Source, err error) bool {
-	return source.IsStore() && f.listed && !f.overdue && errors.Is(err, context.DeadlineExceeded)
+// isFirstFailedWatch reports whether a call that failed was a watch at the store, and the one
+// before it did not fail. The store may be well: it does not answer a watch that it has stalled,
+// and cuts watches that wait.
+func (f *follower) isFirstFailedWatch(source feedsource.Source) bool {
+	return source.IsStore() && f.listed && !f.retried
 }
 
 // logSource logs a change of the source that the kind is read from. The kinds change
@@ -158,7 +159,7 @@
 func (f *follower) accept(ctx context.Context, source feedsource.Source, changes objectfeed.Changes) {
 	f.node.beginEra(f, changes)
 	f.node.apply(f.kind, source, changes)
-	f.position, f.listed, f.overdue = changes.Position(), true, false
+	f.position, f.listed, f.retried = changes.Position(), true, false
 	if !source.IsStore() && changes.Age > maxAge(f.kind) {
 		f.markPeerStale(source, changes.Age)
 		return
@@ -211,7 +212,7 @@
 		klog.ErrorS(err, "Source failed", "kind", f.kind, "revision", f.position.Revision, "peer", source.Peer, "waited", waited)
 	}
 	f.failing = true
-	f.node.markSourceFailed(source)
+	f.node.markSourceFailed(source, waited)
 	if !source.IsStore() && errors.Is(err, context.DeadlineExceeded) {
 		// A VM reads from an aggregator more often than it has queries for it, so that
 		// the reads show first that the aggregator has become unresponsive.
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -21,10 +21,16 @@
 	n.sources.MarkFresh(kind, source)
 }
 
-func (n *Node) markSourceFailed(source feedsource.Source) {
+// markSourceFailed records that a call to a source has failed after it had waited for some
+// time. A call to the store that has waited long is not followed by a pause: its return shows
+// with the next call.
+func (n *Node) markSourceFailed(source feedsource.Source, waited time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.sources.MarkFailed(n.now(), source)
+	if !source.IsStore() {
+		waited = 0
+	}
+	n.sources.MarkFailed(n.now()-waited, source)
 	if source.IsStore() {
 		n.metrics.storeErrors.Inc(1)
 		n.directory.StoreFailed(n.now())
