--- a/internal/feedsource/chooser.go
+++ b/internal/feedsource/chooser.go
@@ -178,6 +178,18 @@
 	return Source{}, false
 }
 
+// Alternatives returns up to limit VMs to read a kind from while a source is late, the preferred
+// ones first. The store is none of them: its calls have a price.
+func (c *Chooser) Alternatives(now time.Duration, kind directory.Kind, late Source, limit int) []Source {
+	var out []Source
+	for _, s := range c.order {
+		if len(out) < limit && s != late && !s.IsStore() && !c.failedRecently(now, s) && !c.staleRecently(now, kind, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // waitsForSeeds reports whether the VM has just started and waits for its seeds.
 func (c *Chooser) waitsForSeeds(now time.Duration) bool {
 	return now < c.startWaitUntil && !c.order[0].IsStore()
--- a/internal/feedsource/chooser_test.go
+++ b/internal/feedsource/chooser_test.go
@@ -190,3 +190,19 @@
 	s, ok = c.Next(now+peerBackoff, directory.KindLeaves)
 	assert.Assert(t, ok && s == peer)
 }
+
+// Load pattern: seeds fall silent one after the other. Guards against a VM that asks a source
+// which has failed or is stale while another one is late, and against calls to the store.
+func TestAlternativesToALateSource(t *testing.T) {
+	c, now := New(Config{Self: "10.0.0.9:1", Seeds: seeds}), restartWait
+	first := next(t, c, now)
+	others := c.Alternatives(now, directory.KindLeaves, first, len(seeds))
+	assert.Equal(t, len(others), 2)
+	assert.Assert(t, !slices.Contains(others, first) && !slices.Contains(others, Source{}))
+	assert.DeepEqual(t, c.Alternatives(now, directory.KindLeaves, first, 1), others[:1])
+	c.MarkFailed(now, others[0])
+	c.MarkStale(now, directory.KindLeaves, others[1])
+	assert.Equal(t, len(c.Alternatives(now, directory.KindLeaves, first, 2)), 0)
+	assert.DeepEqual(t, c.Alternatives(now, directory.KindEvacuations, first, 2), others[1:])
+	assert.Equal(t, len(c.Alternatives(now+peerBackoff, directory.KindLeaves, first, 2)), 2)
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -108,7 +108,7 @@
 		f.listed = false
 	}
 	began := time.Now()
-	changes, err := f.fetch(callCtx, source)
+	source, changes, err := f.fetch(callCtx, source)
 	switch {
 	case err == nil:
 		f.accept(ctx, source, changes)
--- a/internal/gateway/follow_fetch.go
+++ b/internal/gateway/follow_fetch.go
@@ -6,24 +6,23 @@
 
 	"github.com/medlarswitch/medlarswitch/internal/directory"
 	"github.com/medlarswitch/medlarswitch/internal/feedsource"
-	"github.com/medlarswitch/medlarswitch/internal/message"
 	"github.com/medlarswitch/medlarswitch/internal/objectfeed"
 )
 
-// fetch lists the kind, or waits for changes after the known position. An answer of an
-// earlier era than the latest known one is an error.
-func (f *follower) fetch(ctx context.Context, source feedsource.Source) (objectfeed.Changes, error) {
+// fetch lists the kind, or waits for changes after the known position, and returns the source
+// that has answered. An answer of an earlier era than the latest known one is an error.
+func (f *follower) fetch(ctx context.Context, source feedsource.Source) (feedsource.Source, objectfeed.Changes, error) {
 	var changes objectfeed.Changes
 	var err error
 	if source.IsStore() {
 		changes, err = f.fetchFromStore(ctx)
 	} else {
-		changes, err = f.fetchFromPeer(ctx, source)
+		source, changes, err = f.fetchFromPeers(ctx, source)
 	}
 	if err == nil && changes.Era < f.node.storeEra.Load() {
 		err = errEraEnded
 	}
-	return changes, err
+	return source, changes, err
 }
 
 // fetchFromStore reads from the store. A watch that a store of a new era answers is of no
@@ -35,6 +34,7 @@
 		wait = f.watchTimeout()
 	}
 	defer f.node.watchOverdue(wait)()
+	began := time.Now()
 	var changes objectfeed.Changes
 	var err error
 	if f.listed {
@@ -45,6 +45,8 @@
 	if err != nil {
 		return changes, err
 	}
+	// The answer may have been under way for all the time by which it is late.
+	changes.Age = max(time.Since(began)-wait, 0)
 	if changes.Era == 0 {
 		changes.Era = f.node.storeEra.Load()
 	}
@@ -61,7 +63,7 @@
 // be short, although each call to the store has a cost.
 func (f *follower) watchTimeout() time.Duration {
 	if f.failing || f.retried {
-		// The first answer shows at once whether the store is back.
+		// The first answer shows that the store is back.
 		return 0
 	}
 	if f.kind == directory.KindMembers {
@@ -80,30 +82,3 @@
 	}
 	return feedsource.MaxAge
 }
-
-// fetchFromPeer reads from another VM.
-func (f *follower) fetchFromPeer(ctx context.Context, source feedsource.Source) (objectfeed.Changes, error) {
-	f.node.metrics.peerCalls.Inc(1)
-	era := f.position.Era
-	if !f.listed {
-		era = f.node.storeEra.Load()
-	}
-	wait := peerWatchTimeout
-	if f.node.servesOthers() {
-		wait = aggregatorWatchTimeout
-	}
-	answer, err := f.node.peerClient.FetchChanges(ctx, source.Peer, message.FeedRequest{
-		Kind: uint8(f.kind), List: !f.listed, From: f.position.Revision, Era: era, Wait: wait, MaxAge: maxAge(f.kind),
-	})
-	switch {
-	case err != nil:
-		return objectfeed.Changes{}, err
-	case !answer.Ready:
-		return objectfeed.Changes{}, errPeerNotReady
-	case answer.HistoryGone:
-		return objectfeed.Changes{}, ErrHistoryDiscarded
-	case answer.Changes.Position().Before(f.position):
-		return objectfeed.Changes{}, errPeerBehind
-	}
-	return answer.Changes, nil
-}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -15,6 +15,13 @@
 	return n.sources.Next(n.now(), kind)
 }
 
+// alternatives returns other VMs to read a kind from while a source is late.
+func (n *Node) alternatives(kind directory.Kind, late feedsource.Source) []feedsource.Source {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sources.Alternatives(n.now(), kind, late, maxAlternatives)
+}
+
 func (n *Node) markSourceFresh(kind directory.Kind, source feedsource.Source) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/message/feed.go
+++ b/internal/message/feed.go
@@ -34,6 +34,8 @@
 	// that the reader must list again.
 	HistoryGone bool               `msgpack:"g,omitempty"`
 	Changes     objectfeed.Changes `msgpack:"c"`
+	// Held is how long the VM had the request before it answered; 0 if not stated.
+	Held time.Duration `msgpack:"h,omitempty"`
 	// Packed holds the objects instead of Changes.Objects if they are large.
 	Packed PackedObjects `msgpack:"z,omitempty"`
 }
--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -183,18 +183,27 @@
 
 // waitForChanges returns the answer to a request. A watch waits until there are
 // changes, its wait expires or the connection to the peer is closed. It does not wait
-// if the copy is too old for the reader.
+// while the copy is too old for the reader.
 func (h *Hub) waitForChanges(connClosed <-chan struct{}, r message.FeedRequest) message.FeedAnswer {
+	began := h.now()
 	timeout := time.NewTimer(min(r.Wait, maxWait))
 	defer timeout.Stop()
+	// aged fires when the copy becomes too old if the store does not confirm it meanwhile.
+	aged := time.NewTimer(maxWait)
+	defer aged.Stop()
 	for expired := false; ; {
 		answer, changed := h.currentAnswer(r)
+		answer.Held = h.now() - began
 		tooOld := r.MaxAge > 0 && answer.Changes.Age > r.MaxAge
+		if r.MaxAge > 0 {
+			aged.Reset(r.MaxAge - answer.Changes.Age + time.Millisecond)
+		}
 		if !answer.Ready || answer.HistoryGone || r.List || len(answer.Changes.Objects) > 0 || tooOld || expired {
 			return h.pack(r, answer)
 		}
 		select {
 		case <-changed:
+		case <-aged.C:
 		case <-timeout.C:
 			expired = true
 		case <-connClosed:
--- a/internal/peerfeed/hub_test.go
+++ b/internal/peerfeed/hub_test.go
@@ -109,6 +109,38 @@
 	assert.Assert(t, time.Since(started) < maxWait/2)
 }
 
+// Load pattern: a seed loses the store while watches wait at it. Guards against a reader that
+// learns only at the end of its wait that the copy has become too old, and against one that is
+// answered although the store has confirmed the copy meanwhile.
+func TestWatchEndsWhenTheCopyBecomesTooOld(t *testing.T) {
+	const maxAge = 100 * time.Millisecond
+	for confirmed, wait := range map[bool]time.Duration{false: 10 * maxAge, true: 3 * maxAge} {
+		started := time.Now()
+		h := NewHub(func() time.Duration { return time.Since(started) }, panics.NewRecorder(metrics.NewRegistry()), nil)
+		h.Apply(1, objectfeed.Changes{Revision: 1, IsListing: true})
+		if confirmed {
+			stop := make(chan struct{})
+			defer close(stop)
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(maxAge / 10):
+						h.Apply(1, objectfeed.Changes{Revision: 1})
+					}
+				}
+			}()
+		}
+		answer := h.waitForChanges(nil, message.FeedRequest{Kind: 1, From: 1, Wait: wait, MaxAge: maxAge})
+		if confirmed {
+			assert.Assert(t, time.Since(started) >= wait, "answered after %v", time.Since(started))
+		} else {
+			assert.Assert(t, answer.Changes.Age > maxAge && time.Since(started) < wait, "answered after %v", time.Since(started))
+		}
+	}
+}
+
 // Guards against a reader that takes leaves whose entries have lapsed in an outage of the store
 // for ones that have left: the answer with the removals states the rest of the grace period.
 func TestAnswersStateTheGracePeriod(t *testing.T) {
