--- a/test/soak/leaf_test.go
+++ b/test/soak/leaf_test.go
@@ -19,10 +19,13 @@
 	leaving sync.Mutex
 	// born is the start time that the leaf states, if it is not the stand-in's.
 	born int64
-	// state is the state in which the leaf has registered itself last.
+	// state is the state in which the leaf has registered itself last, or stateRemoved.
 	state string
 }
 
+// stateRemoved is the state of a leaf that has removed its entry.
+const stateRemoved = "removed"
+
 func (s *system) addLeaf(service, zone string, body []byte) *leaf {
 	id := fmt.Sprintf("%s-%s-%d", service, zone, len(s.leaves))
 	l := &leaf{Leaf: standin.NewLeaf(id, service, zone, standin.Behaviour{Body: body, Delay: 5 * time.Millisecond})}
@@ -54,8 +57,12 @@
 	}
 }
 
-// writeEntry writes the entry of a leaf. The caller holds mu.
+// writeEntry writes or removes the entry of a leaf. The caller holds mu.
 func (s *system) writeEntry(l *leaf) {
+	if l.state == stateRemoved {
+		s.store.Delete("servers", l.ID)
+		return
+	}
 	entry := l.Entry()
 	entry["addr"], entry["state"] = l.path.Address(), l.state
 	if l.born != 0 {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -139,8 +139,10 @@
 	go func() { restored <- s.injectRestore(rand.New(rand.NewPCG(seed, math.MaxUint64-1))) }()
 	crowds := make(chan string, 1)
 	go func() { crowds <- s.injectCrowds(rand.New(rand.NewPCG(seed, math.MaxUint64-2))) }()
+	released := make(chan string, 1)
+	go func() { released <- s.injectRelease(rand.New(rand.NewPCG(seed, math.MaxUint64-3))) }()
 	injected := s.injectFaults(rand.New(rand.NewPCG(seed, 0)))
-	injected = append(injected, <-restored, <-crowds)
+	injected = append(injected, <-restored, <-crowds, <-released)
 	<-stated
 	recoveryErr := s.checkRecovery()
 	cancel()
