--- a/internal/outage/detector.go
+++ b/internal/outage/detector.go
@@ -93,7 +93,7 @@
 // Answered records that the store answered a call of this VM, and reports whether this has
 // ended an outage.
 func (d *Detector) Answered(now time.Duration) bool {
-	ended := d.endSilence(now, now)
+	ended := d.endSilence(now, now, true)
 	d.calledAt, d.called, d.answeredAt, d.answered = now, true, now, true
 	return ended
 }
@@ -101,7 +101,7 @@
 // Confirmed records that the store answered some VM at a time that is not after now.
 func (d *Detector) Confirmed(now, at time.Duration) {
 	if at > d.confirmedAt || !d.confirmed {
-		d.endSilence(now, at)
+		d.endSilence(now, at, false)
 	}
 }
 
@@ -155,9 +155,9 @@
 	})
 }
 
-// endSilence records that the store answered some VM at a time, and reports whether this has
-// ended an outage that this VM has seen.
-func (d *Detector) endSilence(now, at time.Duration) bool {
+// endSilence records that the store answered this VM or another one at a time, and reports
+// whether this has ended an outage.
+func (d *Detector) endSilence(now, at time.Duration, own bool) bool {
 	began := d.confirmedAt
 	if !d.confirmed {
 		began = min(d.firstFailed, at)
@@ -167,7 +167,7 @@
 		d.gaps = append(d.gaps, silence)
 	}
 	d.gaps = slices.DeleteFunc(d.gaps, func(g gap) bool { return now-g.ended > GracePeriod+stateLifetime })
-	ended := d.isOutage(now, silence)
+	ended := d.isOutage(now, silence, own)
 	d.confirmedAt, d.confirmed = at, true
 	d.dropFailuresBefore(at)
 	return ended
@@ -184,13 +184,12 @@
 	}
 }
 
-// isOutage decides whether a silence that has just ended counts as an outage, and keeps it
-// if it may be one.
-func (d *Detector) isOutage(now time.Duration, silence gap) bool {
+// isOutage decides whether a silence that has just ended, by an answer to this VM or another
+// one, counts as an outage, and keeps it if it may be one.
+func (d *Detector) isOutage(now time.Duration, silence gap, own bool) bool {
 	length := silence.ended - silence.began
 	failed := d.failing && d.lastFailed <= silence.ended
 	toldAway := recent(d.awayAt, now, silence)
-	own := silence.ended == now
 	switch {
 	case own && (failed || toldAway || d.confirmed && length >= maxAnswerGap):
 	case !own && failed && length >= minPeerGap:
@@ -198,19 +197,22 @@
 		return false
 	}
 	seen := d.seenBy(now, silence)
+	if toldAway {
+		seen = 2
+	}
 	d.keep(silence, seen, seen > 0)
 	return seen > 0
 }
 
-// seenBy returns how many VMs see an outage in a silence, as in State.
+// seenBy returns how many VMs see an outage in a silence, as in State, by what this VM has seen
+// and others have stated of their own calls. What others have concluded does not count: VMs
+// would confirm each other for ever.
 func (d *Detector) seenBy(now time.Duration, silence gap) uint8 {
 	length := silence.ended - silence.began
 	failed := d.failing && d.lastFailed <= silence.ended
 	lasting := failed && (d.lastFailed-d.firstFailed >= minFailing || length >= minSilence) || length >= maxAnswerGap
 	refuted := length < minPeerGap && recent(d.refutedAt, now, silence)
 	switch {
-	case recent(d.awayAt, now, silence):
-		return 2
 	case !lasting || refuted:
 		return 0
 	case recent(d.witnessedAt, now, silence):
@@ -247,12 +249,11 @@
 
 // State returns what this VM states to others.
 func (d *Detector) State(now time.Duration) State {
-	s := State{
-		Calls:   d.answered && now-d.calledAt < callsLifetime,
-		Silent:  now - d.answeredAt,
-		Failing: d.failing,
+	s := State{Calls: d.answered && now-d.calledAt < callsLifetime}
+	if s.Calls {
+		s.Silent, s.Failing = now-d.answeredAt, d.failing
 	}
-	if d.failing {
+	if s.Failing {
 		s.Away = d.seenBy(now, gap{d.confirmedAt, now})
 	}
 	if left := d.last.ended + GracePeriod - now; d.outages > 0 && left > 0 {
--- a/internal/outage/detector_test.go
+++ b/internal/outage/detector_test.go
@@ -184,6 +184,31 @@
 	}
 }
 
+// Guards against VMs that confirm each other's conclusion although a third one is answered: two
+// are partitioned from the store, and the third was not heard for a while.
+func TestConclusionsAreNoEvidence(t *testing.T) {
+	f := newFleet(3)
+	f.play(2*time.Second, none)
+	two := func(vm int) bool { return vm < 2 }
+	f.play(2500*time.Millisecond, two, [2]int{0, 1})
+	assert.Equal(t, f.vms[0].State(f.now).Away, uint8(2), "the third VM was not heard")
+	f.play(2*time.Second, two)
+	assert.Assert(t, f.vms[0].State(f.now).Away < 2)
+	assert.Assert(t, !f.vms[0].Answered(f.now))
+}
+
+// Load pattern: a VM that reads from others calls the store itself when it is back, before they
+// do. Guards against a VM that does not know that the entries may have lapsed.
+func TestOutageThatHasNotEndedForOthers(t *testing.T) {
+	f := newFleet(3)
+	reader := New()
+	reader.Confirmed(f.now, f.now)
+	f.play(1700*time.Millisecond, all)
+	reader.Heard(f.now, f.vms[1].State(f.now))
+	assert.Assert(t, reader.Answered(f.now+100*time.Millisecond))
+	assert.Equal(t, reader.Grace().Until, f.now+100*time.Millisecond+GracePeriod)
+}
+
 // Guards against VMs that tell each other of answers which none of them has had: each would
 // take the other's statement for newer than its own.
 func TestStatementsDoNotRenewEachOther(t *testing.T) {
