--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -67,9 +67,8 @@
 	// failing is true after a call failed or returned data that is too old,
 	// until a call succeeds. Meanwhile further failed calls are not logged.
 	failing bool
-	// retried is true after a watch at the store that was called again at once, until a call
-	// succeeds.
-	retried bool
+	// storeFailing is true after a call to the store failed, until one succeeds.
+	storeFailing bool
 	// source is the source of the last call, once called is true.
 	source feedsource.Source
 	called bool
@@ -126,17 +125,17 @@
 		}
 	case ctx.Err() == nil && f.isFirstFailedWatch(source):
 		klog.InfoS("Watch not answered, calling again", "kind", f.kind, "revision", f.position.Revision, "waited", time.Since(began), "err", err)
-		f.retried = true
+		f.storeFailing = true
 	case ctx.Err() == nil:
 		f.recordFailure(source, err, time.Since(began))
 	}
 }
 
-// isFirstFailedWatch reports whether a call that failed was a watch at the store, and the one
-// before it did not fail. The store may be well: it does not answer a watch that it has stalled,
+// isFirstFailedWatch reports whether a call that failed was a watch at the store, and its last
+// call there did not fail. The store may be well: it does not answer a watch that it has stalled,
 // and cuts watches that wait.
 func (f *follower) isFirstFailedWatch(source feedsource.Source) bool {
-	return source.IsStore() && f.listed && !f.retried
+	return source.IsStore() && f.listed && !f.storeFailing
 }
 
 // logSource logs a change of the source that the kind is read from. The kinds change
@@ -159,7 +158,10 @@
 func (f *follower) accept(ctx context.Context, source feedsource.Source, changes objectfeed.Changes) {
 	f.node.beginEra(f, changes)
 	f.node.apply(f.kind, source, changes)
-	f.position, f.listed, f.retried = changes.Position(), true, false
+	f.position, f.listed = changes.Position(), true
+	if source.IsStore() {
+		f.storeFailing = false
+	}
 	if !source.IsStore() && changes.Age > maxAge(f.kind) {
 		f.markPeerStale(source, changes.Age)
 		return
@@ -212,6 +214,9 @@
 		klog.ErrorS(err, "Source failed", "kind", f.kind, "revision", f.position.Revision, "peer", source.Peer, "waited", waited)
 	}
 	f.failing = true
+	if source.IsStore() {
+		f.storeFailing = true
+	}
 	f.node.markSourceFailed(source, waited)
 	if !source.IsStore() && errors.Is(err, context.DeadlineExceeded) {
 		// A VM reads from an aggregator more often than it has queries for it, so that
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -29,12 +29,12 @@
 }
 
 // markSourceFailed records that a call to a source has failed after it had waited for some
-// time. A call to the store that has waited long is not followed by a pause: its return shows
-// with the next call.
+// time. A VM that others read from does not pause after a call to the store that has waited
+// long: the next one shows the store's return.
 func (n *Node) markSourceFailed(source feedsource.Source, waited time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !source.IsStore() {
+	if !source.IsStore() || !n.isAggregator.Load() && !n.sources.IsSeed() {
 		waited = 0
 	}
 	n.sources.MarkFailed(n.now()-waited, source)
