--- a/internal/feedsource/chooser.go
+++ b/internal/feedsource/chooser.go
@@ -192,7 +192,7 @@
 
 // waitsForSeeds reports whether the VM has just started and waits for its seeds.
 func (c *Chooser) waitsForSeeds(now time.Duration) bool {
-	return now < c.startWaitUntil && !c.order[0].IsStore()
+	return now < c.startWaitUntil && !c.PrefersStore()
 }
 
 // MarkFailed records that a call to a source failed.
@@ -214,6 +214,10 @@
 	}
 }
 
+// PrefersStore reports whether this VM reads the store before other VMs: as a seed, or since it
+// knows no other VM.
+func (c *Chooser) PrefersStore() bool { return c.order[0].IsStore() }
+
 // IsSeed reports whether this VM is a seed.
 func (c *Chooser) IsSeed() bool { return c.seed }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -31,6 +31,9 @@
 	// leavesDelay is how long the first listing of the leaves waits for that of the
 	// members, which takes a few round trips at a start.
 	leavesDelay = 200 * time.Millisecond
+	// minWatchWait is how long a watch must have waited for its failure to count as a cut: a
+	// store that is away refuses it at once.
+	minWatchWait = 20 * time.Millisecond
 	// noSourceDelay is the delay before the next call while there is no source
 	// to read from.
 	noSourceDelay = 50 * time.Millisecond
@@ -123,7 +126,7 @@
 		if source.IsStore() {
 			f.node.relistOthers(f)
 		}
-	case ctx.Err() == nil && f.isFirstFailedWatch(source):
+	case ctx.Err() == nil && f.isFirstFailedWatch(source, time.Since(began)):
 		klog.InfoS("Watch not answered, calling again", "kind", f.kind, "revision", f.position.Revision, "waited", time.Since(began), "err", err)
 		f.storeFailing = true
 	case ctx.Err() == nil:
@@ -131,11 +134,11 @@
 	}
 }
 
-// isFirstFailedWatch reports whether a call that failed was a watch at the store, and its last
-// call there did not fail. The store may be well: it does not answer a watch that it has stalled,
-// and cuts watches that wait.
-func (f *follower) isFirstFailedWatch(source feedsource.Source) bool {
-	return source.IsStore() && f.listed && !f.storeFailing
+// isFirstFailedWatch reports whether a call that failed was a watch that had waited at the store,
+// and the last call there did not fail. The store may be well: it does not answer a watch that it
+// has stalled, and cuts watches that wait.
+func (f *follower) isFirstFailedWatch(source feedsource.Source, waited time.Duration) bool {
+	return source.IsStore() && f.listed && !f.storeFailing && waited >= minWatchWait
 }
 
 // logSource logs a change of the source that the kind is read from. The kinds change
@@ -187,6 +190,13 @@
 	return delay
 }
 
+// prefersStore reports whether this VM reads the store before other VMs.
+func (n *Node) prefersStore() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sources.PrefersStore()
+}
+
 // servesOthers reports whether other VMs read from this one.
 func (n *Node) servesOthers() bool {
 	n.mu.Lock()
--- a/internal/gateway/follow_fetch.go
+++ b/internal/gateway/follow_fetch.go
@@ -62,7 +62,7 @@
 // reveals. Changes must be in force within four seconds of such a fault, so the wait must
 // be short, although each call to the store has a cost.
 func (f *follower) watchTimeout() time.Duration {
-	if f.storeFailing {
+	if f.storeFailing && f.node.prefersStore() {
 		// The first answer shows that the store is back.
 		return 0
 	}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -29,12 +29,12 @@
 }
 
 // markSourceFailed records that a call to a source has failed after it had waited for some
-// time. A VM that others read from does not pause after a call to the store that has waited
-// long: the next one shows the store's return.
+// time. A VM that prefers the store does not pause after a call to it that has waited long: the
+// next one shows the store's return.
 func (n *Node) markSourceFailed(source feedsource.Source, waited time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !source.IsStore() || !n.isAggregator.Load() && !n.sources.IsSeed() {
+	if !source.IsStore() || !n.sources.PrefersStore() {
 		waited = 0
 	}
 	n.sources.MarkFailed(n.now()-waited, source)
