--- a/internal/gateway/follow_fetch.go
+++ b/internal/gateway/follow_fetch.go
@@ -45,8 +45,7 @@
 	if err != nil {
 		return changes, err
 	}
-	// The answer may have been under way for all the time by which it is late.
-	changes.Age = max(time.Since(began)-wait, 0)
+	changes.Age = delay(time.Since(began), wait)
 	if changes.Era == 0 {
 		changes.Era = f.node.storeEra.Load()
 	}
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -16,6 +16,9 @@
 	// peerLateAfter is how much longer than its wait a watch at another VM may take before
 	// others are asked, too.
 	peerLateAfter = 200 * time.Millisecond
+	// usualDelay is how long an answer is under way on a link and a VM without trouble, which
+	// the bounds of ages allow for.
+	usualDelay = 200 * time.Millisecond
 	// maxAlternatives is how many others are asked: with the first one, as many as there are
 	// seeds.
 	maxAlternatives = 2
@@ -110,6 +113,10 @@
 	return peerWatchTimeout
 }
 
+// delay returns by how much an answer counts as older than it states: it may have been under way
+// for all of the time that the call took beyond the time that it was held.
+func delay(took, held time.Duration) time.Duration { return max(took-held-usualDelay, 0) }
+
 // fetchFromPeer makes one call to another VM. An answer of an earlier state than the known one
 // is an error.
 func (n *Node) fetchFromPeer(ctx context.Context, source feedsource.Source, r message.FeedRequest, known objectfeed.Position) (objectfeed.Changes, error) {
@@ -126,8 +133,7 @@
 		return objectfeed.Changes{}, errPeerBehind
 	}
 	if answer.Held > 0 {
-		// The answer may have been under way for all the time that the VM did not hold it.
-		answer.Changes.Age += max(time.Since(began)-answer.Held, 0)
+		answer.Changes.Age += delay(time.Since(began), answer.Held)
 	}
 	return answer.Changes, nil
 }
