--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -133,7 +133,9 @@
 		return objectfeed.Changes{}, errPeerBehind
 	}
 	if answer.Held > 0 {
-		answer.Changes.Age += delay(time.Since(began), answer.Held)
+		late := delay(time.Since(began), answer.Held)
+		answer.Changes.Age += late
+		answer.Changes.Store = answer.Changes.Store.Delayed(late)
 	}
 	return answer.Changes, nil
 }
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -56,16 +56,7 @@
 func (n *Node) watchOverdue(wait time.Duration) (stop func()) {
 	done := make(chan struct{})
 	timer := time.AfterFunc(wait+overdueAfter, func() {
-		tick := time.NewTicker(overdueInterval)
-		defer tick.Stop()
-		for {
-			n.recordOverdue()
-			select {
-			case <-done:
-				return
-			case <-tick.C:
-			}
-		}
+		n.runDuty("store-overdue", func() { n.recordOverdueUntil(done) })
 	})
 	return func() {
 		timer.Stop()
@@ -73,6 +64,19 @@
 	}
 }
 
+func (n *Node) recordOverdueUntil(done <-chan struct{}) {
+	tick := time.NewTicker(overdueInterval)
+	defer tick.Stop()
+	for {
+		n.recordOverdue()
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 func (n *Node) recordOverdue() {
 	interval := storeWatchTimeout
 	if n.servesOthers() {
--- a/internal/outage/detector.go
+++ b/internal/outage/detector.go
@@ -64,11 +64,11 @@
 	// true.
 	othersAt time.Duration
 	others   bool
-	// last is the last silence that may have been an outage, if there was one, and seen how
+	// last is the last silence that may have been an outage, if hasLast is true, and seen how
 	// many VMs have seen it, as in State.
 	last    gap
 	seen    uint8
-	outages int
+	hasLast bool
 	grace   Grace
 }
 
@@ -154,7 +154,7 @@
 
 // isLast reports whether a silence is a part of the last outage.
 func (d *Detector) isLast(silence gap) bool {
-	return d.outages > 0 && silence.began >= d.last.began-transferTime && silence.ended <= d.last.ended+transferTime
+	return d.hasLast && silence.began >= d.last.began-transferTime && silence.ended <= d.last.ended+transferTime
 }
 
 // silentDuring reports whether the store is not known to have answered during a silence.
@@ -251,11 +251,10 @@
 		d.seen = max(d.seen, seen)
 		return
 	}
-	if d.outages > 0 && silence.began < d.last.ended {
+	if d.hasLast && silence.began < d.last.ended {
 		seen = max(seen, d.seen)
 	}
-	d.last, d.seen = silence, seen
-	d.outages++
+	d.last, d.seen, d.hasLast = silence, seen, true
 }
 
 // Grace returns the current grace periods.
@@ -273,7 +272,7 @@
 	if s.Failing {
 		s.Away = d.seenBy(now, gap{d.confirmedAt, now})
 	}
-	if left := d.last.ended + GracePeriod - now; d.outages > 0 && left > 0 {
+	if left := d.last.ended + GracePeriod - now; d.hasLast && left > 0 {
 		s.GraceLeft, s.Lasted, s.Seen = left, d.last.ended-d.last.began, d.seen
 	}
 	return s
--- a/internal/outage/detector_test.go
+++ b/internal/outage/detector_test.go
@@ -247,3 +247,11 @@
 		assert.Assert(t, vm.Answered(f.now+time.Millisecond))
 	}
 }
+
+// Guards against a statement that was under way for long and counts as new.
+func TestDelayedStatement(t *testing.T) {
+	s := State{Calls: true, Silent: time.Second, Others: true, OthersSilent: time.Second, GraceLeft: 2 * time.Second}
+	assert.DeepEqual(t, s.Delayed(time.Second), State{Calls: true, Silent: 2 * time.Second, Others: true, OthersSilent: 2 * time.Second, GraceLeft: time.Second})
+	assert.Equal(t, s.Delayed(3*time.Second).GraceLeft, time.Duration(0))
+	assert.DeepEqual(t, State{}.Delayed(time.Second), State{})
+}
--- a/internal/outage/state.go
+++ b/internal/outage/state.go
@@ -26,10 +26,14 @@
 	Seen uint8 `msgpack:"n,omitempty"`
 }
 
-// Grace is the time after an outage in which leaves stay in use although their entries are
-// missing.
-type Grace struct {
-	// Until is the end of the grace period after an outage that is certain; SuspectedUntil
-	// after one that is not.
-	Until, SuspectedUntil time.Duration
+// Delayed returns a state that has been under way for a time.
+func (s State) Delayed(d time.Duration) State {
+	if s.Calls {
+		s.Silent += d
+	}
+	if s.Others {
+		s.OthersSilent += d
+	}
+	s.GraceLeft = max(s.GraceLeft-d, 0)
+	return s
 }
