--- a/internal/outage/detector.go
+++ b/internal/outage/detector.go
@@ -53,10 +53,10 @@
 	// failing is true.
 	firstFailed, lastFailed time.Duration
 	failing                 bool
-	// calledAt is when a call of this VM to the store last ended, if called is true;
-	// answeredAt when one was last answered, if answered is true.
+	// calledAt is when a call of this VM to the store last ended, answeredAt when one was last
+	// answered, if answered is true.
 	calledAt, answeredAt time.Duration
-	called, answered     bool
+	answered             bool
 	// witnessedAt is when another VM last stated that its calls fail, refutedAt that they
 	// are answered, awayAt that VMs see an outage; negative means never.
 	witnessedAt, refutedAt, awayAt time.Duration
@@ -79,7 +79,7 @@
 
 // Failed records that a call of this VM to the store has failed.
 func (d *Detector) Failed(now time.Duration) {
-	d.calledAt, d.called = now, true
+	d.calledAt = now
 	if !d.failing {
 		d.failing, d.firstFailed = true, now
 	}
@@ -98,7 +98,7 @@
 // ended an outage.
 func (d *Detector) Answered(now time.Duration) bool {
 	ended := d.endSilence(now, now, true)
-	d.calledAt, d.called, d.answeredAt, d.answered = now, true, now, true
+	d.calledAt, d.answeredAt, d.answered = now, now, true
 	return ended
 }
 
--- a/internal/peerfeed/hub.go
+++ b/internal/peerfeed/hub.go
@@ -199,6 +199,9 @@
 			aged.Reset(r.MaxAge - answer.Changes.Age + time.Millisecond)
 		}
 		if !answer.Ready || answer.HistoryGone || r.List || len(answer.Changes.Objects) > 0 || tooOld || expired {
+			// Read after the changes: the outage that has caused a change is known before
+			// the change is applied.
+			answer.Changes.Store = h.storeState()
 			return h.pack(r, answer)
 		}
 		select {
@@ -256,15 +259,6 @@
 	h.packed[kind] = packed
 }
 
-// currentAnswer returns the answer from the current copies, and a channel that
-// is closed at the next change.
-func (h *Hub) currentAnswer(r message.FeedRequest) (message.FeedAnswer, <-chan struct{}) {
-	answer, changed := h.copyAnswer(r)
-	// The outage that has caused a change is known before the change is applied.
-	answer.Changes.Store = h.storeState()
-	return answer, changed
-}
-
 // storeState returns what this VM states of the store.
 func (h *Hub) storeState() outage.State {
 	if h.witness == nil {
@@ -273,7 +267,9 @@
 	return h.witness.StoreState()
 }
 
-func (h *Hub) copyAnswer(r message.FeedRequest) (message.FeedAnswer, <-chan struct{}) {
+// currentAnswer returns the answer from the current copies, and a channel that
+// is closed at the next change.
+func (h *Hub) currentAnswer(r message.FeedRequest) (message.FeedAnswer, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now, cache := h.now(), h.cache(Kind(r.Kind))
--- a/internal/peerfeed/hub_test.go
+++ b/internal/peerfeed/hub_test.go
@@ -148,10 +148,10 @@
 	h := NewHub(func() time.Duration { return now }, panics.NewRecorder(metrics.NewRegistry()), nil)
 	h.SetWitness(graceUntil{6 * time.Second, &now})
 	h.Apply(1, objectfeed.Changes{Revision: 1, IsListing: true})
-	answer, _ := h.currentAnswer(message.FeedRequest{Kind: 1, List: true})
+	answer := h.waitForChanges(nil, message.FeedRequest{Kind: 1, List: true})
 	assert.Equal(t, answer.Changes.Store.GraceLeft, time.Second)
 	now = 7 * time.Second
-	answer, _ = h.currentAnswer(message.FeedRequest{Kind: 1, From: 1})
+	answer = h.waitForChanges(nil, message.FeedRequest{Kind: 1, From: 1})
 	assert.Equal(t, answer.Changes.Store.GraceLeft, time.Duration(0))
 }
 
