--- /dev/null
+++ b/review/rig3/cold.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// coldReturn: a zone is evacuated; its leaf becomes cold shortly before it is taken back.
+func coldReturn(g *rig) (bool, string, error) {
+	const (
+		warmupPerS = 4.0
+		// bound is warmup_per_s x warmup_factor + warmup_slack.
+		bound  = warmupPerS*1.5 + 5
+		warmup = 3 * time.Second
+		beat   = 1200 * time.Millisecond
+	)
+	g.store.Put("config", "main", ordersConfig(warmupPerS))
+	var leaves []*leaf
+	for _, zone := range zones {
+		// "While cold, the leaf [...] crashes at a rate well above that".
+		l := &leaf{service: "kafi81c", zone: zone, slots: 2, queue: 8, work: 40 * time.Millisecond, crashRate: 2 * bound}
+		if err := g.addLeaf(l); err != nil {
+			return false, "", err
+		}
+		leaves = append(leaves, l)
+	}
+	g.addNodes(zones, 3)
+	if err := startNodes(g.nodes, true); err != nil {
+		return false, "", err
+	}
+	stop := make(chan struct{})
+	load := g.background(func() []*node { return g.nodes }, orders, 12*time.Millisecond, stop)
+	time.Sleep(6 * time.Second)
+	cold := leaves[0]
+	var coldFrom time.Time
+	if g.trouble {
+		g.record("evacuated zone=%s", cold.zone)
+		g.store.Put("evacuations", cold.zone, map[string]any{})
+		time.Sleep(6 * time.Second)
+		coldFrom = time.Now()
+		cold.becomeCold(warmup)
+		g.record("cold leaf=%s", cold.id)
+		time.Sleep(100 * time.Millisecond)
+		g.store.Delete("evacuations", cold.zone)
+		g.record("taken back zone=%s", cold.zone)
+		time.Sleep(beat - 200*time.Millisecond)
+		if !cold.isDead() {
+			g.store.Put("servers", cold.id, cold.entry("ready", warmup-time.Since(coldFrom)))
+			g.record("check-in leaf=%s warmup_left_ms=%d", cold.id, (warmup - time.Since(coldFrom)).Milliseconds())
+		}
+		time.Sleep(5 * time.Second)
+	} else {
+		time.Sleep(11 * time.Second)
+	}
+	close(stop)
+	load.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var in []time.Time
+	for _, a := range g.arrivals {
+		if a.leaf == cold.id && !coldFrom.IsZero() && a.at.After(coldFrom) && a.at.Before(coldFrom.Add(warmup)) {
+			in = append(in, a.at)
+		}
+	}
+	most := mostInOneSecond(in)
+	return float64(most) > bound, fmt.Sprintf("the cold leaf got up to %d requests in one second, %.0f allowed", most, bound), nil
+}
+
+// mostInOneSecond returns the greatest number of times in any second.
+func mostInOneSecond(times []time.Time) int {
+	most := 0
+	for i, j := 0, 0; j < len(times); j++ {
+		for times[j].Sub(times[i]) >= time.Second {
+			i++
+		}
+		most = max(most, j-i+1)
+	}
+	return most
+}
