--- a/review/rig3/cold.go
+++ b/review/rig3/cold.go
@@ -29,7 +29,7 @@
 		return false, "", err
 	}
 	stop := make(chan struct{})
-	load := g.background(func() []*node { return g.nodes }, orders, 12*time.Millisecond, stop)
+	load := g.background(func() []*node { return g.nodes }, orders, 10*time.Millisecond, stop)
 	time.Sleep(6 * time.Second)
 	cold := leaves[0]
 	var coldFrom time.Time
--- a/review/rig3/leaf.go
+++ b/review/rig3/leaf.go
@@ -31,8 +31,10 @@
 
 	server *http.Server
 	addr   string
-	slot   chan struct{}
-	mu     sync.Mutex
+	// publicAddr is the address in the leaf's entry, if that is not addr.
+	publicAddr string
+	slot       chan struct{}
+	mu         sync.Mutex
 	// waiting is the number of requests that wait for a slot.
 	waiting int
 	dead    bool
@@ -74,8 +76,12 @@
 
 // entry returns the leaf's entry in the store.
 func (l *leaf) entry(state string, warmupLeft time.Duration) map[string]any {
+	addr := l.addr
+	if l.publicAddr != "" {
+		addr = l.publicAddr
+	}
 	return map[string]any{
-		"service": l.service, "addr": l.addr, "zone": l.zone, "version": "v1", "max_concurrency": l.slots,
+		"service": l.service, "addr": addr, "zone": l.zone, "version": "v1", "max_concurrency": l.slots,
 		"state": state, "warmup_left_ms": warmupLeft.Milliseconds(), "seq": 1, "born": l.born,
 	}
 }
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -31,6 +31,7 @@
 	"gives-up":    givesUp,
 	"cold-return": coldReturn,
 	"late-leave":  lateLeave,
+	"old-beat":    oldCheckIn,
 }
 
 func main() { os.Exit(play()) }
