--- a/review/rig3/crashing.go
+++ b/review/rig3/crashing.go
@@ -69,7 +69,9 @@
 			return err
 		}
 	}
-	g.addNodes(zones, 3)
+	if err := g.addNodes(zones, 3); err != nil {
+		return err
+	}
 	return startNodes(g.nodes, true)
 }
 
--- a/review/rig3/late.go
+++ b/review/rig3/late.go
@@ -34,7 +34,9 @@
 		}
 		old = append(old, l)
 	}
-	g.addNodes(zones, 3)
+	if err := g.addNodes(zones, 3); err != nil {
+		return false, "", err
+	}
 	if err := startNodes(g.nodes, true); err != nil {
 		return false, "", err
 	}
--- a/review/rig3/old.go
+++ b/review/rig3/old.go
@@ -46,7 +46,9 @@
 	first.publicAddr = path.Address()
 	first.register()
 	g.record("leaf id=%s born=%d", first.id, first.born)
-	g.addNodes(zones, 3)
+	if err := g.addNodes(zones, 3); err != nil {
+		return false, "", err
+	}
 	if err := startNodes(g.nodes, true); err != nil {
 		return false, "", err
 	}
--- a/review/rig3/queued.go
+++ b/review/rig3/queued.go
@@ -27,7 +27,9 @@
 		}
 		leaves = append(leaves, l)
 	}
-	g.addNodes(zones, 3)
+	if err := g.addNodes(zones, 3); err != nil {
+		return false, "", err
+	}
 	if err := startNodes(g.nodes, true); err != nil {
 		return false, "", err
 	}
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -141,23 +143,42 @@
 // loopback begins the loopback addresses of this run, so that those of two runs do not meet.
 var loopback = fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%200, os.Getpid()/200%250)
 
-// Ports of a VM. They are below those that the system gives to clients.
+// Free ports of VMs are looked for between these two, below those that the system gives to clients.
 const (
-	callersPort = "8104"
-	peersPort   = "8106"
-	readyPort   = "8108"
-	adminPort   = "7380"
+	firstPort = 10000
+	lastPort  = 30000
 )
 
+// freePorts returns ports that are free on the address of the first VM.
+func freePorts(count int) ([]string, error) {
+	var out []string
+	for range 1000 {
+		port := strconv.Itoa(firstPort + rand.IntN(lastPort-firstPort))
+		ln, err := net.Listen("tcp", net.JoinHostPort(loopback+"1", port))
+		if err != nil || slices.Contains(out, port) {
+			continue
+		}
+		_ = ln.Close()
+		if out = append(out, port); len(out) == count {
+			return out, nil
+		}
+	}
+	return nil, errors.New("no free ports")
+}
+
 // addNodes adds VMs in zones, of which the first one of each zone is a seed.
-func (g *rig) addNodes(zones []string, perZone int) {
+func (g *rig) addNodes(zones []string, perZone int) error {
+	ports, err := freePorts(4)
+	if err != nil {
+		return err
+	}
 	var seeds []string
 	for _, zone := range zones {
 		for i := range perZone {
 			n := &node{rig: g, name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone}
 			ip := loopback + strconv.Itoa(len(g.nodes)+1)
-			n.callers, n.ready = net.JoinHostPort(ip, callersPort), net.JoinHostPort(ip, readyPort)
-			n.admin, n.peers = net.JoinHostPort(ip, adminPort), net.JoinHostPort(ip, peersPort)
+			n.callers, n.ready = net.JoinHostPort(ip, ports[0]), net.JoinHostPort(ip, ports[1])
+			n.admin, n.peers = net.JoinHostPort(ip, ports[2]), net.JoinHostPort(ip, ports[3])
 			if i == 0 {
 				seeds = append(seeds, n.peers)
 			}
@@ -167,6 +188,7 @@
 	for _, n := range g.nodes {
 		n.seeds = seeds
 	}
+	return nil
 }
 
 func (n *node) isSeed() bool {
