--- a/review/rig3/crashing.go
+++ b/review/rig3/crashing.go
@@ -127,40 +127,6 @@
 		len(g.crashes), len(c.attempts), count, stableWindow, maxCrashRetries, outOfTouch)
 }
 
-// seedsLost: the three seeds are lost for good, and then a request that crashes leaves comes again
-// and again at the other VMs.
-func seedsLost(g *rig) (bool, string, error) {
-	if err := crashRig(g, 5*time.Millisecond); err != nil {
-		return false, "", err
-	}
-	var others []*node
-	for _, n := range g.nodes {
-		if !n.isSeed() {
-			others = append(others, n)
-		}
-	}
-	stop := make(chan struct{})
-	load := g.background(func() []*node { return others }, orders, 15*time.Millisecond, stop)
-	time.Sleep(5 * time.Second)
-	if g.trouble {
-		for _, n := range g.nodes {
-			if n.isSeed() {
-				n.signal(syscall.SIGKILL)
-			}
-		}
-	}
-	time.Sleep(8 * time.Second)
-	caller := &crashCaller{g: g}
-	for range 24 {
-		caller.send(others, 0)
-		time.Sleep(2 * time.Second)
-	}
-	close(stop)
-	load.Wait()
-	isBroken, seen := caller.verdict()
-	return isBroken, seen, nil
-}
-
 // killed: all processes are killed at the same moment, twice, and start again; meanwhile the request
 // comes again.
 func killed(g *rig) (bool, string, error) {
--- a/review/rig3/leaf.go
+++ b/review/rig3/leaf.go
@@ -26,8 +26,6 @@
 	crashRate int
 	coldUntil time.Time
 	recent    []time.Time
-	// coldFor is how long the leaf is cold after its start.
-	coldFor time.Duration
 
 	server *http.Server
 	addr   string
@@ -86,7 +84,7 @@
 	}
 }
 
-func (l *leaf) register() { l.rig.store.Put("servers", l.id, l.entry("ready", l.coldFor)) }
+func (l *leaf) register() { l.rig.store.Put("servers", l.id, l.entry("ready", 0)) }
 
 // kill ends the leaf: its port refuses connections, and its connections are closed.
 func (l *leaf) kill() {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -26,11 +26,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken, and what was seen.
 var cases = map[string]func(g *rig) (bool, string, error){
-	"seeds-lost":  seedsLost,
 	"killed":      killed,
 	"gives-up":    givesUp,
 	"cold-return": coldReturn,
-	"late-leave":  lateLeave,
 	"old-beat":    oldCheckIn,
 	"cold-again":  coldAgain,
 }
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -29,9 +29,7 @@
 	trouble bool
 	started time.Time
 	store   *standin.Store
-	// storeAddr is the address that the VMs have of the store.
-	storeAddr string
-	nodes     []*node
+	nodes   []*node
 
 	mu     sync.Mutex
 	log    *os.File
@@ -84,7 +82,7 @@
 		return nil, err
 	}
 	store := standin.NewStore()
-	return &rig{root: root, dir: dir, command: strings.Fields(string(command[1])), trouble: trouble, started: time.Now(), store: store, storeAddr: store.Addr(), log: log, leaves: make(map[string]*leaf), sent: make(map[string]time.Time)}, nil
+	return &rig{root: root, dir: dir, command: strings.Fields(string(command[1])), trouble: trouble, started: time.Now(), store: store, log: log, leaves: make(map[string]*leaf), sent: make(map[string]time.Time)}, nil
 }
 
 // record writes a line to record.txt.
@@ -213,7 +211,7 @@
 		"{{limits.cpu_share}}", "0.4", "{{limits.cores}}", "1",
 		"{{listen.front|json}}", quote(n.callers), "{{listen.ready|json}}", quote(n.ready),
 		"{{ip}}", host, "{{port_range.0}}", port, "{{listen.control|json}}", quote(n.peers),
-		"{{seeds|json}}", quote(n.seeds), "{{platform.addr|json}}", quote(n.rig.storeAddr),
+		"{{seeds|json}}", quote(n.seeds), "{{platform.addr|json}}", quote(n.rig.store.Addr()),
 		"{{bootstrap|json}}", quote(first), "{{rule_params.grace_s}}", "6",
 		"{{rule_params.retry_ratio}}", "0.2", "{{rule_params.retry_slack}}", "58", "{{rule_params.budget_window_s}}", "10",
 		"{{rule_params.warmup_factor}}", "1.5", "{{rule_params.warmup_slack}}", "5",
